--- /dev/null
+++ b/cyclamenwell/clock.py
@@ -0,0 +1,123 @@
+"""Time in milliseconds: one duration type and the clocks that produce it."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+__all__ = ["Clock", "ManualClock", "Milliseconds", "SystemClock", "ZERO"]
+
+
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Milliseconds:
+    """A duration, or a point in time on one clock.
+
+    Parameters
+    ----------
+    value : float
+        Milliseconds.
+
+    Examples
+    --------
+    >>> Milliseconds(1500) + Milliseconds(500)
+    Milliseconds(value=2000)
+    >>> Milliseconds(1500).seconds
+    1.5
+    """
+
+    value: float
+
+    def __add__(self, other: Milliseconds) -> Milliseconds:
+        return Milliseconds(self.value + other.value)
+
+    def __sub__(self, other: Milliseconds) -> Milliseconds:
+        return Milliseconds(self.value - other.value)
+
+    def __mul__(self, factor: float) -> Milliseconds:
+        return Milliseconds(self.value * factor)
+
+    def __bool__(self) -> bool:
+        return self.value != 0
+
+    @property
+    def seconds(self) -> float:
+        """The duration in seconds, as the standard library wants it."""
+        return self.value / 1000.0
+
+    @classmethod
+    def from_seconds(cls, seconds: float) -> Milliseconds:
+        """Convert a duration in seconds."""
+        return cls(seconds * 1000.0)
+
+
+ZERO = Milliseconds(0)
+
+
+class Clock:
+    """Source of the present time.
+
+    Notes
+    -----
+    Deadlines, leases and timeouts use `now`, which never goes back. Only the
+    age of idempotency keys and incarnations use `wall`.
+    """
+
+    def now(self) -> Milliseconds:
+        """Return the time of a monotonic clock."""
+        raise NotImplementedError
+
+    def wall(self) -> Milliseconds:
+        """Return the time since the Unix epoch."""
+        raise NotImplementedError
+
+
+class SystemClock(Clock):
+    """The clocks of the operating system."""
+
+    def now(self) -> Milliseconds:
+        """Return the time of the monotonic clock."""
+        return Milliseconds(time.monotonic_ns() / 1e6)
+
+    def wall(self) -> Milliseconds:
+        """Return the time since the Unix epoch."""
+        return Milliseconds(time.time_ns() / 1e6)
+
+
+class ManualClock(Clock):
+    """A clock that moves only when a test advances it.
+
+    Parameters
+    ----------
+    start : Milliseconds
+        First value of the monotonic clock.
+    epoch : Milliseconds
+        First value of the wall clock.
+    """
+
+    def __init__(
+        self,
+        start: Milliseconds = ZERO,
+        epoch: Milliseconds = Milliseconds(1_700_000_000_000),
+    ) -> None:
+        self._now = start
+        self._offset = epoch - start
+
+    def now(self) -> Milliseconds:
+        """Return the monotonic time."""
+        return self._now
+
+    def wall(self) -> Milliseconds:
+        """Return the wall time, which moves with the monotonic time."""
+        return self._now + self._offset
+
+    def advance(self, duration: Milliseconds) -> None:
+        """Move both clocks forward.
+
+        Raises
+        ------
+        ValueError
+            If the duration is negative.
+        """
+        if duration.value < 0:
+            raise ValueError(f"cannot move the clock back by {duration}")
+        self._now = self._now + duration
--- /dev/null
+++ b/cyclamenwell/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Command line for operators."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration in force: versions, readers, dissemination, audit trail."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/configuration/snapshot.py
@@ -0,0 +1,124 @@
+"""Immutable picture of the configuration in force."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+import functools
+import hashlib
+import types
+
+from cyclamenwell.documents import parser
+from cyclamenwell.generated import documents
+
+__all__ = ["EMPTY", "KeyOwner", "Snapshot", "build_snapshot"]
+
+KEY_IDENTIFIER_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyOwner:
+    """Organisation that a key belongs to.
+
+    Parameters
+    ----------
+    organisation : str
+        Name of the organisation.
+    identifier : bytes
+        First bytes of the key's digest, which stand for the key between nodes.
+    """
+
+    organisation: str
+    identifier: bytes
+
+
+def _freeze(values: dict) -> Mapping:
+    return types.MappingProxyType(values)
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """Configuration in force at one moment.
+
+    Parameters
+    ----------
+    parsed : Mapping of str to parser.ParsedDocument
+        Documents by name, removed ones included.
+    services : Mapping of str to documents.ServiceDocument
+        Services by name.
+    key_owners : Mapping of bytes to KeyOwner
+        Owners by the SHA-256 digest of the key.
+    identifiers : Mapping of bytes to str
+        Organisations by key identifier.
+    fleet : documents.FleetDocument
+        Settings of the whole fleet.
+    """
+
+    parsed: Mapping[str, parser.ParsedDocument]
+    services: Mapping[str, documents.ServiceDocument]
+    key_owners: Mapping[bytes, KeyOwner]
+    identifiers: Mapping[bytes, str]
+    fleet: documents.FleetDocument
+
+    @functools.cached_property
+    def digest(self) -> bytes:
+        """SHA-256 over the names and versions in force, 32 bytes."""
+        lines = sorted(f"{d.name} {d.version}" for d in self.parsed.values())
+        return hashlib.sha256("\n".join(lines).encode()).digest()
+
+    @functools.cached_property
+    def data_centres_out(self) -> frozenset[str]:
+        """Data centres that get no new work."""
+        return frozenset(self.fleet.data_centres_out)
+
+    def find_version(self, name: str) -> int:
+        """Return the version of a document in force, 0 if there is none."""
+        document = self.parsed.get(name)
+        return 0 if document is None else document.version
+
+
+def build_snapshot(parsed: dict[str, parser.ParsedDocument]) -> Snapshot:
+    """Build the tables that calls look up.
+
+    Parameters
+    ----------
+    parsed : dict of str to parser.ParsedDocument
+        Documents in force by name; the snapshot keeps the dictionary.
+
+    Returns
+    -------
+    Snapshot
+        The snapshot.
+    """
+    services: dict[str, documents.ServiceDocument] = {}
+    owners: dict[bytes, KeyOwner] = {}
+    fleet = documents.FleetDocument()
+    for document in parsed.values():
+        content = document.content
+        if isinstance(content, documents.ServiceDocument):
+            services[content.service] = content
+        elif isinstance(content, documents.OrganisationDocument):
+            _add_keys(owners, content)
+        elif isinstance(content, documents.FleetDocument):
+            fleet = content
+    identifiers = {o.identifier: o.organisation for o in owners.values()}
+    return Snapshot(
+        _freeze(parsed),
+        _freeze(services),
+        _freeze(owners),
+        _freeze(identifiers),
+        fleet,
+    )
+
+
+def _add_keys(
+    owners: dict[bytes, KeyOwner], content: documents.OrganisationDocument
+) -> None:
+    for key in content.keys:
+        digest = bytes.fromhex(key.digest)
+        owners[digest] = KeyOwner(
+            content.organisation, digest[:KEY_IDENTIFIER_BYTES]
+        )
+
+
+EMPTY = build_snapshot({})
--- /dev/null
+++ b/cyclamenwell/configuration/store.py
@@ -0,0 +1,142 @@
+"""Versions of documents in force in this node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import threading
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.configuration import audit
+from cyclamenwell.configuration import snapshot as snapshots
+from cyclamenwell.documents import changes
+from cyclamenwell.documents import parser
+from cyclamenwell.generated import messages
+from cyclamenwell.telemetry import logs
+
+__all__ = ["Store"]
+
+_log = logs.PartLog("config")
+
+Listener = Callable[
+    [snapshots.Snapshot, tuple[messages.VersionEntry, ...]], None
+]
+
+
+class Store:
+    """Holds the configuration in force, whose versions only go up.
+
+    Parameters
+    ----------
+    time : clock.Clock
+        Clock for audit entries.
+    trail : audit.AuditTrail
+        Trail that records every change and refusal.
+
+    Notes
+    -----
+    `snapshot` is replaced as a whole under the lock and read without it, so
+    that a call sees one consistent configuration and never waits.
+    """
+
+    def __init__(self, time: clock.Clock, trail: audit.AuditTrail) -> None:
+        self._time = time
+        self._trail = trail
+        self._lock = threading.Lock()
+        self._refused: dict[str, int] = {}
+        self._listeners: list[Listener] = []
+        self.snapshot = snapshots.EMPTY
+
+    def add_listener(self, listener: Listener) -> None:
+        """Call a function after each change, with the accepted versions."""
+        self._listeners.append(listener)
+
+    def needs(self, name: str, version: int) -> bool:
+        """Return whether a version is newer than all that was seen."""
+        known = max(
+            self.snapshot.find_version(name), self._refused.get(name, 0)
+        )
+        return version > known
+
+    def apply(
+        self, texts: Iterable[messages.DocumentText], origin: str
+    ) -> tuple[messages.VersionEntry, ...]:
+        """Put documents in force.
+
+        Parameters
+        ----------
+        texts : iterable of messages.DocumentText
+            Documents as published; older versions are ignored, bad documents
+            are recorded in the audit trail and change nothing.
+        origin : str
+            From whom they were received.
+
+        Returns
+        -------
+        tuple of messages.VersionEntry
+            Versions that came into force.
+        """
+        with self._lock:
+            accepted = self._accept(texts, origin)
+            current = self.snapshot
+        if accepted:
+            for listener in self._listeners:
+                listener(current, accepted)
+        return accepted
+
+    def _accept(
+        self, texts: Iterable[messages.DocumentText], origin: str
+    ) -> tuple[messages.VersionEntry, ...]:
+        parsed = dict(self.snapshot.parsed)
+        accepted = []
+        for text in texts:
+            if not self.needs(text.name, text.version):
+                continue
+            document = self._check(text, origin)
+            if document is None:
+                continue
+            details = changes.describe_change(parsed.get(text.name), document)
+            parsed[text.name] = document
+            accepted.append(messages.VersionEntry(text.name, text.version))
+            self._record(text, True, origin, details)
+        if accepted:
+            self.snapshot = snapshots.build_snapshot(parsed)
+        return tuple(accepted)
+
+    def _check(
+        self, text: messages.DocumentText, origin: str
+    ) -> parser.ParsedDocument | None:
+        try:
+            return parser.parse_document(text.name, text.version, text.text)
+        except exceptions.DocumentError as error:
+            self._refused[text.name] = text.version
+            self._record(text, False, origin, error.problems)
+            return None
+
+    def _record(
+        self,
+        text: messages.DocumentText,
+        accepted: bool,
+        origin: str,
+        details: tuple[str, ...],
+    ) -> None:
+        verb = "accepted" if accepted else "refused"
+        _log.info(
+            "%s %s version %d from %s: %s",
+            verb,
+            text.name,
+            text.version,
+            origin,
+            "; ".join(details),
+        )
+        self._trail.record(
+            audit.AuditEntry(
+                at=self._time.wall(),
+                document=text.name,
+                version=text.version,
+                accepted=accepted,
+                origin=origin,
+                details=details,
+            )
+        )
--- /dev/null
+++ b/cyclamenwell/documents/parser.py
@@ -0,0 +1,204 @@
+"""Reading documents and checking what the schema can not express."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+
+from cyclamenwell import exceptions
+from cyclamenwell.generated import documents
+from cyclamenwell.schema import reader
+
+__all__ = [
+    "Content",
+    "MAX_DOCUMENT_BYTES",
+    "ParsedDocument",
+    "RemovedDocument",
+    "parse_document",
+]
+
+MAX_DOCUMENT_BYTES = 1_048_576  # The platform holds no larger values.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemovedDocument:
+    """Content of a document that was published empty, which removes it."""
+
+
+Content = (
+    documents.ServiceDocument
+    | documents.OrganisationDocument
+    | documents.FleetDocument
+    | RemovedDocument
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ParsedDocument:
+    """A document that passed every check.
+
+    Parameters
+    ----------
+    name : str
+        ``service/<name>``, ``organisation/<name>`` or ``fleet``.
+    version : int
+        Version given by the platform, from 1.
+    text : str
+        YAML text as published, empty for a removed document.
+    content : Content
+        What the text says.
+    """
+
+    name: str
+    version: int
+    text: str
+    content: Content
+
+
+def parse_document(name: str, version: int, text: str) -> ParsedDocument:
+    """Read a document.
+
+    Parameters
+    ----------
+    name : str
+        Name under which the platform publishes it.
+    version : int
+        Version given by the platform.
+    text : str
+        YAML text; an empty text removes the document.
+
+    Returns
+    -------
+    ParsedDocument
+        The checked document.
+
+    Raises
+    ------
+    exceptions.DocumentError
+        With every problem found, each naming its place.
+    """
+    cls = _find_class(name)
+    if version < 1:
+        raise exceptions.DocumentError(
+            (f"{name}: got version {version}, must be at least 1",)
+        )
+    size = len(text.encode("utf-8", "surrogatepass"))
+    if size > MAX_DOCUMENT_BYTES:
+        raise exceptions.DocumentError(
+            (
+                f"{name}: has {size} bytes, must have at most "
+                f"{MAX_DOCUMENT_BYTES}",
+            )
+        )
+    if not text.strip():
+        return ParsedDocument(name, version, "", RemovedDocument())
+    content = reader.read_struct(cls, text, name, exceptions.DocumentError)
+    problems = tuple(f"{name}: {p}" for p in _find_problems(content, name))
+    if problems:
+        raise exceptions.DocumentError(problems)
+    return ParsedDocument(name, version, text, content)
+
+
+def _find_class(name: str) -> type:
+    kind, _, rest = name.partition("/")
+    if name == "fleet":
+        return documents.FleetDocument
+    if kind == "service" and rest:
+        return documents.ServiceDocument
+    if kind == "organisation" and rest:
+        return documents.OrganisationDocument
+    raise exceptions.DocumentError(
+        (
+            f"{name!r} is not a document name; allowed are service/<name>, "
+            "organisation/<name> and fleet",
+        )
+    )
+
+
+@functools.singledispatch
+def _find_problems(content: object, name: str) -> list[str]:
+    """Return the problems of a document that the schema can not express."""
+    raise TypeError(f"no checks for {type(content).__name__}")
+
+
+@_find_problems.register
+def _(content: documents.ServiceDocument, name: str) -> list[str]:
+    problems = []
+    if name != f"service/{content.service}":
+        problems.append(f"service: got {content.service!r}, must match {name}")
+    taken: set[tuple[tuple[str, ...], str]] = set()
+    for index, route in enumerate(content.routes):
+        problems += [
+            f"routes[{index}]: {problem}" for problem in _check_route(route)
+        ]
+        for method in route.methods:
+            key = (_normalise_path(route.path), method)
+            if key in taken:
+                problems.append(
+                    f"routes[{index}]: {method} {route.path} is a duplicate"
+                )
+            taken.add(key)
+    names = [caller.organisation for caller in content.callers]
+    problems += _find_duplicates("callers", "organisation", names)
+    for index, caller in enumerate(content.callers):
+        # A bucket that never holds one token would admit no request at all.
+        if caller.rate_per_second > 0 and caller.burst < 1:
+            problems.append(
+                f"callers[{index}].burst: got {caller.burst}, must be at "
+                "least 1 request when the rate is above 0"
+            )
+    return problems
+
+
+@_find_problems.register
+def _(content: documents.OrganisationDocument, name: str) -> list[str]:
+    problems = []
+    if name != f"organisation/{content.organisation}":
+        problems.append(
+            f"organisation: got {content.organisation!r}, must match {name}"
+        )
+    digests = [key.digest for key in content.keys]
+    return problems + _find_duplicates("keys", "digest", digests)
+
+
+@_find_problems.register
+def _(content: documents.FleetDocument, name: str) -> list[str]:
+    del name
+    return _find_duplicates(
+        "data_centres_out", "data centre", list(content.data_centres_out)
+    )
+
+
+def _check_route(route: documents.RouteDocument) -> list[str]:
+    problems = []
+    segments = route.path.split("/")[1:]
+    for segment in segments[:-1]:
+        if segment == "*":
+            problems.append(f"path {route.path}: * must be the last segment")
+    for method in route.methods:
+        if not method.isalpha() or method != method.upper():
+            problems.append(f"methods: got {method!r}, must be in capitals")
+    if route.open_to_all and not route.idempotent:
+        problems.append(
+            "open_to_all: a route open to all must be idempotent, since its "
+            "requests belong to no organisation"
+        )
+    return problems
+
+
+def _normalise_path(path: str) -> tuple[str, ...]:
+    """Replace parameter names, so that equal patterns compare equal."""
+    return tuple(
+        "{}" if segment.startswith("{") and segment.endswith("}") else segment
+        for segment in path.split("/")[1:]
+    )
+
+
+def _find_duplicates(field: str, what: str, names: list[str]) -> list[str]:
+    seen: set[str] = set()
+    problems = []
+    for index, name in enumerate(names):
+        if name in seen:
+            problems.append(f"{field}[{index}]: {what} {name!r} is given twice")
+        seen.add(name)
+    return problems
--- /dev/null
+++ b/cyclamenwell/idempotency/keys.py
@@ -0,0 +1,52 @@
+"""Idempotency keys: UUIDs of version 7, which carry their time."""
+
+from __future__ import annotations
+
+import secrets
+import uuid
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.generated import enumerations
+
+__all__ = ["make_key", "read_time"]
+
+_VERSION = 7
+_RANDOM_BITS = 74
+_TIME_SHIFT = 80
+_HIGH_RANDOM_SHIFT = 62
+_VARIANT = 0b10
+
+
+def make_key(time: clock.Clock) -> str:
+    """Return a new key with the present wall time."""
+    random = secrets.randbits(_RANDOM_BITS)
+    high, low = divmod(random, 1 << _HIGH_RANDOM_SHIFT)
+    value = int(time.wall().value) << _TIME_SHIFT
+    value |= _VERSION << 76 | high << 64 | _VARIANT << 62 | low
+    return str(uuid.UUID(int=value))
+
+
+def read_time(key: str) -> clock.Milliseconds:
+    """Return the wall time at which a key was made.
+
+    Parameters
+    ----------
+    key : str
+        UUID of version 7 in its usual notation.
+
+    Raises
+    ------
+    exceptions.RefusedError
+        As BAD_REQUEST if the key is not a UUID of version 7.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        parsed = None
+    if parsed is None or parsed.version != _VERSION:
+        raise exceptions.RefusedError(
+            enumerations.ErrorKind.BAD_REQUEST,
+            f"idempotency-key: got {key!r}, must be a UUID of version 7",
+        )
+    return clock.Milliseconds(parsed.int >> _TIME_SHIFT)
--- /dev/null
+++ b/cyclamenwell/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Rate and burst of an organisation over all instances of a service."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/load/__init__.py
@@ -0,0 +1,3 @@
+"""Load generation and experiments."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/membership/directory.py
@@ -0,0 +1,177 @@
+"""Instances of the fleet as this node knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import threading
+
+from cyclamenwell import clock
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
+
+__all__ = ["Directory", "InstanceList", "PeerRecord", "make_incarnation"]
+
+_State = enumerations.InstanceState
+_INCARNATION_RANDOM_BITS = 16
+
+
+def make_incarnation(time: clock.Clock, random_bits: int) -> int:
+    """Return the incarnation of a starting process.
+
+    Parameters
+    ----------
+    time : clock.Clock
+        Clock of the process.
+    random_bits : int
+        Random number, of which 16 bits are used, so that two processes that
+        start in the same millisecond differ.
+
+    Returns
+    -------
+    int
+        Wall time in milliseconds shifted by 16 bits, plus the random bits; a
+        later process has a higher incarnation.
+    """
+    mask = (1 << _INCARNATION_RANDOM_BITS) - 1
+    started = int(time.wall().value) << _INCARNATION_RANDOM_BITS
+    return started | (random_bits & mask)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceList:
+    """One revision of the platform's instance list.
+
+    Parameters
+    ----------
+    revision : int
+        Revision given by the platform, 0 for no list at all.
+    entries : Mapping of str to messages.InstanceEntry
+        Entries by instance name.
+    services : Mapping of str to tuple of messages.InstanceEntry
+        Entries of each service, sorted by instance name.
+    """
+
+    revision: int = 0
+    entries: Mapping[str, messages.InstanceEntry] = dataclasses.field(
+        default_factory=dict
+    )
+    services: Mapping[str, tuple[messages.InstanceEntry, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerRecord:
+    """What a peer's own words and calls to it have shown.
+
+    Parameters
+    ----------
+    load : messages.LoadReport or None
+        Last report of the instance itself.
+    heard_at : clock.Milliseconds or None
+        Monotonic time of the last message from it.
+    gone : bool
+        Whether the process with the reported incarnation is proven gone.
+    """
+
+    load: messages.LoadReport | None = None
+    heard_at: clock.Milliseconds | None = None
+    gone: bool = False
+
+
+class Directory:
+    """Holds the instance list and what peers have told.
+
+    Parameters
+    ----------
+    time : clock.Clock
+        Clock for the time of the last message of each peer.
+    """
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._time = time
+        self._lock = threading.Lock()
+        self._records: dict[str, PeerRecord] = {}
+        self._listeners: list[Callable[[InstanceList], None]] = []
+        self.current = InstanceList()
+
+    def add_listener(self, listener: Callable[[InstanceList], None]) -> None:
+        """Call a function after each new revision of the list."""
+        self._listeners.append(listener)
+
+    def replace_list(
+        self, revision: int, entries: Iterable[messages.InstanceEntry]
+    ) -> bool:
+        """Take a newer revision of the instance list.
+
+        Returns
+        -------
+        bool
+            Whether the revision was newer than the one known.
+        """
+        with self._lock:
+            if revision <= self.current.revision:
+                return False
+            self.current = _index_entries(revision, entries)
+            listed = self.current.entries
+            self._records = {
+                name: record
+                for name, record in self._records.items()
+                if name in listed
+            }
+            current = self.current
+        for listener in self._listeners:
+            listener(current)
+        return True
+
+    def list_service(self, service: str) -> tuple[messages.InstanceEntry, ...]:
+        """Return the listed entries of a service, sorted by name."""
+        return self.current.services.get(service, ())
+
+    def find_entry(self, instance: str) -> messages.InstanceEntry | None:
+        """Return the listed entry of an instance."""
+        return self.current.entries.get(instance)
+
+    def find_record(self, instance: str) -> PeerRecord:
+        """Return what is known of an instance beyond the list."""
+        return self._records.get(instance, _UNKNOWN_PEER)
+
+    def note_load(self, load: messages.LoadReport) -> None:
+        """Take an instance's own report, unless a later process reported."""
+        with self._lock:
+            record = self._records.get(load.instance, _UNKNOWN_PEER)
+            if record.load and load.incarnation < record.load.incarnation:
+                return
+            self._records[load.instance] = PeerRecord(
+                load=load,
+                heard_at=self._time.now(),
+                gone=load.state is _State.GONE,
+            )
+
+    def forget_load(self, instance: str) -> None:
+        """Drop the report of an instance whose process was replaced."""
+        with self._lock:
+            self._records.pop(instance, None)
+
+    def note_gone(self, instance: str) -> None:
+        """Record that no process listens at the instance's address."""
+        with self._lock:
+            record = self._records.get(instance, _UNKNOWN_PEER)
+            self._records[instance] = dataclasses.replace(record, gone=True)
+
+
+_UNKNOWN_PEER = PeerRecord()
+
+
+def _index_entries(
+    revision: int, entries: Iterable[messages.InstanceEntry]
+) -> InstanceList:
+    by_name = {entry.instance: entry for entry in entries}
+    services: dict[str, list[messages.InstanceEntry]] = {}
+    for name in sorted(by_name):
+        services.setdefault(by_name[name].service, []).append(by_name[name])
+    frozen = {name: tuple(found) for name, found in services.items()}
+    return InstanceList(revision, by_name, frozen)
--- /dev/null
+++ b/cyclamenwell/node/__init__.py
@@ -0,0 +1,3 @@
+"""The process beside a target."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/node/calls.py
@@ -0,0 +1,116 @@
+"""Requests, answers and calls inside a node."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cyclamenwell import clock
+from cyclamenwell.generated import documents
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
+
+__all__ = ["Call", "HttpAnswer", "HttpRequest", "Reply"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole HTTP request, independent of the front end it came through.
+
+    Parameters
+    ----------
+    method : str
+        Method in capitals.
+    path : str
+        Path with query.
+    headers : tuple of messages.Header
+        Headers with names in lower case, in order.
+    body : bytes
+        Whole body.
+    """
+
+    method: str
+    path: str
+    headers: tuple[messages.Header, ...] = ()
+    body: bytes = b""
+
+    def find_header(self, name: str) -> str:
+        """Return the first value of a header, empty if there is none."""
+        for header in self.headers:
+            if header.name == name:
+                return header.value
+        return ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole HTTP answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of messages.Header
+        Headers with names in lower case, without hop-by-hop headers.
+    body : bytes
+        Whole body.
+    """
+
+    status: int
+    headers: tuple[messages.Header, ...] = ()
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A request with what the entry node or its context established.
+
+    Parameters
+    ----------
+    call_id : bytes
+        16 random bytes.
+    service : str
+        Called service.
+    route : documents.RouteDocument
+        Matched route.
+    request : HttpRequest
+        Request without any key.
+    organisation : str
+        Organisation the request runs for, empty on open routes.
+    key_identifier : bytes
+        Identifier of the caller's key, 8 bytes, empty on open routes.
+    importance : enumerations.Importance
+        Importance of the root request.
+    deadline : clock.Milliseconds
+        Monotonic time by which the answer must be there.
+    idempotency_key : str
+        Key of a non-idempotent request, else empty.
+    depth : int
+        Number of calls above this one.
+    """
+
+    call_id: bytes
+    service: str
+    route: documents.RouteDocument
+    request: HttpRequest
+    organisation: str
+    key_identifier: bytes
+    importance: enumerations.Importance
+    deadline: clock.Milliseconds
+    idempotency_key: str
+    depth: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Result of one attempt.
+
+    Parameters
+    ----------
+    answer : HttpAnswer
+        Whole answer of the target.
+    retries_left : int
+        Lent retries that were not spent.
+    """
+
+    answer: HttpAnswer
+    retries_left: int
--- /dev/null
+++ b/cyclamenwell/node/executor.py
@@ -0,0 +1,276 @@
+"""Running calls at the target beside the node."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cyclamenwell import answers
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.admission import gate as gates
+from cyclamenwell.configuration import store as stores
+from cyclamenwell.generated import documents
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
+from cyclamenwell.generated import settings
+from cyclamenwell.keys import contexts
+from cyclamenwell.limits import limiter as limiters
+from cyclamenwell.membership import directory as directories
+from cyclamenwell.node import calls
+from cyclamenwell.node import cancellation as cancellations
+from cyclamenwell.node import headers
+from cyclamenwell.node import target as targets
+from cyclamenwell.retries import allowance as allowances
+
+__all__ = ["Executor"]
+
+_Kind = enumerations.ErrorKind
+_State = enumerations.InstanceState
+
+_RESULTS = {
+    _Kind.TARGET_SHED: gates.Result.SHED,
+    _Kind.TARGET_UNREACHABLE: gates.Result.UNREACHABLE,
+    _Kind.TIMED_OUT: gates.Result.TIMED_OUT,
+    _Kind.CANCELLED: gates.Result.CANCELLED,
+}
+
+
+class Executor:
+    """Checks calls for the own target and runs them there.
+
+    Parameters
+    ----------
+    instance : settings.InstanceSettings
+        Identity of the node.
+    time : clock.Clock
+        Clock of the deadlines.
+    store : stores.Store
+        Configuration in force.
+    directory : directories.Directory
+        Instances, for the share of this node.
+    gate : gates.Gate
+        Gate of the target.
+    limiter : limiters.FleetLimiter
+        Rates of the organisations.
+    registry : contexts.ContextRegistry
+        Contexts of running requests.
+    target : targets.TargetClient
+        The target.
+    """
+
+    def __init__(
+        self,
+        instance: settings.InstanceSettings,
+        time: clock.Clock,
+        store: stores.Store,
+        directory: directories.Directory,
+        gate: gates.Gate,
+        limiter: limiters.FleetLimiter,
+        registry: contexts.ContextRegistry,
+        target: targets.TargetClient,
+    ) -> None:
+        self._instance = instance
+        self._time = time
+        self._store = store
+        self._directory = directory
+        self._gate = gate
+        self._limiter = limiter
+        self._registry = registry
+        self._target = target
+        self.state = _State.STARTING
+
+    def execute(
+        self,
+        call: calls.Call,
+        retries: int,
+        cancellation: cancellations.Cancellation,
+    ) -> calls.Reply:
+        """Run a call at the target.
+
+        Parameters
+        ----------
+        call : calls.Call
+            The call.
+        retries : int
+            Retries lent to it for its further calls.
+        cancellation : cancellations.Cancellation
+            Cancelled when nobody waits for the answer any more.
+
+        Returns
+        -------
+        calls.Reply
+            The target's whole answer.
+
+        Raises
+        ------
+        exceptions.RefusedError
+            If a check fails, or for the reasons of `targets.TargetClient`.
+        """
+        allowance = allowances.RetryAllowance(retries)
+        try:
+            self._check(call)
+            return self._take_token(call, allowance, cancellation)
+        except exceptions.RefusedError as refusal:
+            refusal.retries_left = allowance.held
+            raise
+
+    def report_load(self, incarnation: int) -> messages.LoadReport:
+        """Return the load of this instance."""
+        load = self._gate.read_load()
+        return messages.LoadReport(
+            instance=self._instance.name,
+            incarnation=incarnation,
+            state=self.state,
+            in_progress=load.in_progress,
+            queued=load.queued,
+            limit=load.limit,
+            cold=load.cold,
+        )
+
+    def _check(self, call: calls.Call) -> None:
+        """Refuse what this node may not run, in the order of the design."""
+        snapshot = self._store.snapshot
+        if call.service != self._instance.service:
+            raise exceptions.RefusedError(
+                _Kind.WRONG_INSTANCE,
+                f"instance {self._instance.name} serves "
+                f"{self._instance.service}, not {call.service}",
+            )
+        if self.state is not _State.SERVING:
+            raise exceptions.RefusedError(
+                _Kind.LEAVING, f"instance {self._instance.name} is not serving"
+            )
+        if self._instance.data_centre in snapshot.data_centres_out:
+            raise exceptions.RefusedError(
+                _Kind.DATA_CENTRE_OUT,
+                f"data centre {self._instance.data_centre} is taken out",
+            )
+        self._check_key(call)
+        if call.deadline <= self._time.now():
+            raise exceptions.RefusedError(
+                _Kind.DEADLINE_PASSED, "the deadline has passed"
+            )
+
+    def _check_key(self, call: calls.Call) -> None:
+        if not call.organisation:
+            return
+        owner = self._store.snapshot.identifiers.get(call.key_identifier)
+        if owner != call.organisation:
+            raise exceptions.RefusedError(
+                _Kind.UNAUTHENTICATED, "the key is no longer in force"
+            )
+
+    def _find_caller(self, call: calls.Call) -> documents.CallerDocument | None:
+        if not call.organisation:
+            return None
+        service = self._store.snapshot.services[call.service]
+        for caller in service.callers:
+            if caller.organisation == call.organisation:
+                return caller
+        raise exceptions.RefusedError(
+            _Kind.FORBIDDEN,
+            f"organisation {call.organisation} may not call {call.service}",
+        )
+
+    def _find_share(self) -> float:
+        listed = self._directory.list_service(self._instance.service)
+        return 1.0 / max(len(listed), 1)
+
+    def _take_token(
+        self,
+        call: calls.Call,
+        allowance: allowances.RetryAllowance,
+        cancellation: cancellations.Cancellation,
+    ) -> calls.Reply:
+        """Count the call against its rate, and uncount it if it has not run."""
+        caller = self._find_caller(call)
+        if caller is None:
+            return self._pass_gate(call, caller, allowance, cancellation)
+        self._limiter.take(caller, self._find_share())
+        try:
+            return self._pass_gate(call, caller, allowance, cancellation)
+        except exceptions.RefusedError as refusal:
+            outcome = answers.ANSWERS[refusal.kind].outcome
+            if outcome is enumerations.Outcome.NOT_RUN:
+                self._limiter.refund(caller.organisation)
+            raise
+
+    def _pass_gate(
+        self,
+        call: calls.Call,
+        caller: documents.CallerDocument | None,
+        allowance: allowances.RetryAllowance,
+        cancellation: cancellations.Cancellation,
+    ) -> calls.Reply:
+        admission = self._gate.enter(
+            gates.Ticket(
+                organisation=call.organisation,
+                weight=caller.rate_per_second if caller else 0.0,
+                importance=call.importance,
+                deadline=call.deadline,
+            )
+        )
+        result = gates.Result.NOT_SENT
+        try:
+            # The key may have been withdrawn while the call waited.
+            self._check_key(call)
+            reply = self._run(call, allowance, cancellation)
+            result = gates.Result.ANSWERED
+            if reply.answer.status >= 500:
+                result = gates.Result.FAILED
+            return reply
+        except exceptions.RefusedError as refusal:
+            result = _RESULTS.get(refusal.kind, gates.Result.FAILED)
+            raise
+        finally:
+            duration = self._time.now() - admission.admitted_at
+            self._gate.leave(admission, gates.Observation(result, duration))
+
+    def _run(
+        self,
+        call: calls.Call,
+        allowance: allowances.RetryAllowance,
+        cancellation: cancellations.Cancellation,
+    ) -> calls.Reply:
+        context = contexts.CallContext(
+            organisation=call.organisation,
+            key_identifier=call.key_identifier,
+            importance=call.importance,
+            deadline=call.deadline,
+            depth=call.depth,
+            allowance=allowance,
+            failure=contexts.FailureMark(),
+        )
+        token = self._registry.open(context)
+        try:
+            answer = self._target.send(
+                self._prepare(call, token), call.deadline, cancellation
+            )
+        except exceptions.RefusedError as refusal:
+            refusal.retried = refusal.retried or context.failure.retried
+            raise
+        finally:
+            self._registry.close(token)
+        service = self._store.snapshot.services.get(call.service)
+        if service is not None and answer.status == service.shed_status:
+            raise exceptions.RefusedError(
+                _Kind.TARGET_SHED,
+                "the target shed the request",
+                retried=context.failure.retried,
+            )
+        return calls.Reply(answer, allowance.held)
+
+    def _prepare(self, call: calls.Call, token: str) -> calls.HttpRequest:
+        """Add what the target needs to know of the call."""
+        remaining = max(int((call.deadline - self._time.now()).value), 1)
+        added = [
+            messages.Header(headers.CONTEXT, token),
+            messages.Header(headers.TIMEOUT_MS, str(remaining)),
+        ]
+        if call.organisation:
+            added.append(
+                messages.Header(headers.ORGANISATION, call.organisation)
+            )
+        return dataclasses.replace(
+            call.request, headers=call.request.headers + tuple(added)
+        )
--- /dev/null
+++ b/cyclamenwell/node/front.py
@@ -0,0 +1,285 @@
+"""Entry of requests from callers and from the target beside the node."""
+
+from __future__ import annotations
+
+import functools
+import json
+import math
+import secrets
+import socket
+
+from cyclamenwell import answers
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.configuration import snapshot as snapshots
+from cyclamenwell.configuration import store as stores
+from cyclamenwell.generated import documents
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
+from cyclamenwell.idempotency import keys as idempotency_keys
+from cyclamenwell.keys import authenticator
+from cyclamenwell.keys import contexts
+from cyclamenwell.node import calls
+from cyclamenwell.node import cancellation as cancellations
+from cyclamenwell.node import dispatcher as dispatchers
+from cyclamenwell.node import headers
+from cyclamenwell.retries import allowance as allowances
+from cyclamenwell.routing import table
+from cyclamenwell.telemetry import logs
+from cyclamenwell.telemetry import metrics
+
+__all__ = ["Front", "build_problem"]
+
+_log = logs.PartLog("calls")
+_Kind = enumerations.ErrorKind
+_CALL_ID_BYTES = 16
+_MAX_DEPTH = 32
+_OUTCOME_NAMES = {
+    enumerations.Outcome.NOT_RUN: "not-run",
+    enumerations.Outcome.UNKNOWN: "unknown",
+}
+
+
+def build_problem(refusal: exceptions.RefusedError) -> calls.HttpAnswer:
+    """Return the answer for a refusal as RFC 9457 problem details.
+
+    Parameters
+    ----------
+    refusal : exceptions.RefusedError
+        The refusal.
+
+    Returns
+    -------
+    calls.HttpAnswer
+        Status, headers and JSON body.
+    """
+    answer = answers.ANSWERS[refusal.kind]
+    outcome = _OUTCOME_NAMES[answer.outcome]
+    name = refusal.kind.name.lower().replace("_", "-")
+    body = {
+        "type": f"urn:cyclamenwell:{name}",
+        "title": answer.title,
+        "status": answer.status,
+        "detail": refusal.detail,
+        "outcome": outcome,
+    }
+    added = [
+        messages.Header("content-type", "application/problem+json"),
+        messages.Header(headers.OUTCOME, outcome),
+    ]
+    if refusal.retry_after:
+        seconds = max(math.ceil(refusal.retry_after.seconds), 1)
+        added.append(messages.Header("retry-after", str(seconds)))
+    return calls.HttpAnswer(
+        answer.status, tuple(added), json.dumps(body).encode()
+    )
+
+
+class Front:
+    """Turns requests into calls and refusals into answers.
+
+    Parameters
+    ----------
+    time : clock.Clock
+        Clock of the deadlines.
+    store : stores.Store
+        Configuration in force.
+    registry : contexts.ContextRegistry
+        Contexts of the requests that run at the target.
+    dispatcher : dispatchers.Dispatcher
+        Runs the calls.
+    watcher : cancellations.DisconnectWatcher
+        Watches the callers' connections.
+    """
+
+    def __init__(
+        self,
+        time: clock.Clock,
+        store: stores.Store,
+        registry: contexts.ContextRegistry,
+        dispatcher: dispatchers.Dispatcher,
+        watcher: cancellations.DisconnectWatcher,
+    ) -> None:
+        self._time = time
+        self._store = store
+        self._registry = registry
+        self._dispatcher = dispatcher
+        self._watcher = watcher
+
+    def answer_caller(
+        self, request: calls.HttpRequest, connection: socket.socket
+    ) -> calls.HttpAnswer:
+        """Answer a request that came with a key or to an open route."""
+        return self._answer(
+            request, connection, functools.partial(self._run_root, request)
+        )
+
+    def answer_target(
+        self, request: calls.HttpRequest, connection: socket.socket
+    ) -> calls.HttpAnswer:
+        """Answer a further call of the target beside the node."""
+        return self._answer(
+            request, connection, functools.partial(self._run_further, request)
+        )
+
+    def _answer(
+        self,
+        request: calls.HttpRequest,
+        connection: socket.socket,
+        run: functools.partial,
+    ) -> calls.HttpAnswer:
+        started = self._time.now()
+        service = _find_service_name(request)
+        kind = "NONE"
+        try:
+            with self._watcher.watch(connection) as cancellation:
+                return run(cancellation)
+        except exceptions.RefusedError as refusal:
+            kind = refusal.kind.name
+            return build_problem(refusal)
+        except Exception:
+            _log.fail("a call to %s failed unexpectedly", service)
+            kind = _Kind.INTERNAL.name
+            return build_problem(
+                exceptions.RefusedError(_Kind.INTERNAL, "internal error")
+            )
+        finally:
+            metrics.count_call(service, kind, self._time.now() - started)
+
+    def _run_root(
+        self,
+        request: calls.HttpRequest,
+        cancellation: cancellations.Cancellation,
+    ) -> calls.HttpAnswer:
+        snapshot = self._store.snapshot
+        service = _find_service(snapshot, request)
+        route = table.match_route(service, request.method, request.path)
+        organisation, identifier = "", b""
+        if not route.open_to_all:
+            owner = authenticator.identify_owner(
+                snapshot, request.find_header(headers.AUTHORIZATION)
+            )
+            organisation, identifier = owner.organisation, owner.identifier
+        call = calls.Call(
+            call_id=secrets.token_bytes(_CALL_ID_BYTES),
+            service=service.service,
+            route=route,
+            request=_strip(request, service),
+            organisation=organisation,
+            key_identifier=identifier,
+            importance=route.importance,
+            deadline=self._find_deadline(request, route),
+            idempotency_key=self._find_key(request, route),
+            depth=0,
+        )
+        allowance = allowances.RetryAllowance(snapshot.fleet.retries)
+        return self._dispatcher.run(call, allowance, cancellation)
+
+    def _run_further(
+        self,
+        request: calls.HttpRequest,
+        cancellation: cancellations.Cancellation,
+    ) -> calls.HttpAnswer:
+        context = self._registry.find(request.find_header(headers.CONTEXT))
+        if context is None:
+            raise exceptions.RefusedError(
+                _Kind.CONTEXT_ENDED,
+                f"the header {headers.CONTEXT} names no running request",
+            )
+        if context.depth >= _MAX_DEPTH:
+            raise exceptions.RefusedError(
+                _Kind.BAD_REQUEST, f"the chain is deeper than {_MAX_DEPTH}"
+            )
+        service = _find_service(self._store.snapshot, request)
+        route = table.match_route(service, request.method, request.path)
+        call = calls.Call(
+            call_id=secrets.token_bytes(_CALL_ID_BYTES),
+            service=service.service,
+            route=route,
+            request=_strip(request, service),
+            organisation=context.organisation,
+            key_identifier=context.key_identifier,
+            importance=context.importance,
+            deadline=min(context.deadline, self._find_deadline(request, route)),
+            idempotency_key=self._find_key(request, route),
+            depth=context.depth + 1,
+        )
+        return self._borrow_and_run(call, context, cancellation)
+
+    def _borrow_and_run(
+        self,
+        call: calls.Call,
+        context: contexts.CallContext,
+        cancellation: cancellations.Cancellation,
+    ) -> calls.HttpAnswer:
+        """Run a further call on retries that its parent lends."""
+        lent = context.allowance.lend()
+        allowance = allowances.RetryAllowance(lent)
+        try:
+            return self._dispatcher.run(call, allowance, cancellation)
+        except exceptions.RefusedError as refusal:
+            if refusal.retried:
+                context.failure.retried = True
+            raise
+        finally:
+            context.allowance.settle(lent, allowance.held)
+
+    def _find_deadline(
+        self, request: calls.HttpRequest, route: documents.RouteDocument
+    ) -> clock.Milliseconds:
+        timeout = route.timeout
+        given = request.find_header(headers.TIMEOUT_MS)
+        if given:
+            if not given.isascii() or not given.isdigit() or int(given) < 1:
+                raise exceptions.RefusedError(
+                    _Kind.BAD_REQUEST,
+                    f"{headers.TIMEOUT_MS}: got {given!r}, must be a whole "
+                    "number of milliseconds from 1",
+                )
+            timeout = min(timeout, clock.Milliseconds(int(given)))
+        return self._time.now() + timeout
+
+    def _find_key(
+        self, request: calls.HttpRequest, route: documents.RouteDocument
+    ) -> str:
+        if route.idempotent:
+            return ""
+        given = request.find_header(headers.IDEMPOTENCY_KEY)
+        if not given:
+            return idempotency_keys.make_key(self._time)
+        idempotency_keys.read_time(given)
+        return given
+
+
+def _find_service_name(request: calls.HttpRequest) -> str:
+    """Return the service that the Host header names, without a port."""
+    return request.find_header("host").partition(":")[0].lower()
+
+
+def _find_service(
+    snapshot: snapshots.Snapshot, request: calls.HttpRequest
+) -> documents.ServiceDocument:
+    name = _find_service_name(request)
+    service = snapshot.services.get(name)
+    if service is None:
+        raise exceptions.RefusedError(
+            _Kind.NO_SUCH_SERVICE, f"the header Host names no service: {name!r}"
+        )
+    return service
+
+
+def _strip(
+    request: calls.HttpRequest, service: documents.ServiceDocument
+) -> calls.HttpRequest:
+    if len(request.body) > service.max_body_bytes:
+        raise exceptions.RefusedError(
+            _Kind.BODY_TOO_LARGE,
+            f"the body has {len(request.body)} bytes, service "
+            f"{service.service} takes {service.max_body_bytes}",
+        )
+    return calls.HttpRequest(
+        request.method,
+        request.path,
+        headers.strip_request(request.headers),
+        request.body,
+    )
--- /dev/null
+++ b/cyclamenwell/node/handlers.py
@@ -0,0 +1,123 @@
+"""Handling of messages from other nodes, by their class."""
+
+from __future__ import annotations
+
+import functools
+import socket
+from typing import Any
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
+from cyclamenwell.node import calls
+from cyclamenwell.node import parts
+from cyclamenwell.routing import table
+
+__all__ = ["handle_message"]
+
+_Kind = enumerations.ErrorKind
+
+
+def handle_message(
+    message: Any, node: parts.Parts, connection: socket.socket
+) -> Any:
+    """Handle a message and return its reply.
+
+    Parameters
+    ----------
+    message : object
+        Instance of a class in `messages`.
+    node : parts.Parts
+        Node that received it.
+    connection : socket.socket
+        Connection it came on.
+
+    Returns
+    -------
+    object
+        The reply; a `messages.Fault` if the message is for another process.
+    """
+    sender = getattr(message, "sender", None)
+    if sender is not None and not node.identity.accepts(sender):
+        return messages.Fault(
+            kind=_Kind.WRONG_INSTANCE,
+            detail=f"this is {node.identity.instance}, a later process",
+            incarnation=node.identity.incarnation,
+        )
+    return _handle(message, node, connection)
+
+
+@functools.singledispatch
+def _handle(message: Any, node: parts.Parts, connection: socket.socket) -> Any:
+    """Refuse a message that is no request."""
+    del node, connection
+    raise exceptions.ProtocolError(f"{type(message).__name__} is no request")
+
+
+@_handle.register
+def _(
+    message: messages.ForwardRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.ForwardReply:
+    """Run a forwarded call at the own target."""
+    try:
+        with node.watcher.watch(connection) as cancellation:
+            reply = node.executor.execute(
+                _read_call(message, node), message.retries, cancellation
+            )
+    except exceptions.RefusedError as refusal:
+        return messages.ForwardReply(
+            call_id=message.call_id,
+            refusal=refusal.kind,
+            detail=refusal.detail,
+            retry_after_ms=int(refusal.retry_after.value),
+            load=node.report_load(),
+            retries_left=refusal.retries_left,
+            retried=refusal.retried,
+        )
+    return messages.ForwardReply(
+        call_id=message.call_id,
+        status=reply.answer.status,
+        headers=reply.answer.headers,
+        body=reply.answer.body,
+        load=node.report_load(),
+        retries_left=reply.retries_left,
+    )
+
+
+def _read_call(
+    message: messages.ForwardRequest, node: parts.Parts
+) -> calls.Call:
+    service = node.store.snapshot.services.get(message.service)
+    if service is None:
+        raise exceptions.RefusedError(
+            _Kind.NO_SUCH_SERVICE,
+            f"service {message.service} has no document here",
+        )
+    return calls.Call(
+        call_id=message.call_id,
+        service=message.service,
+        route=table.match_route(service, message.method, message.path),
+        request=calls.HttpRequest(
+            message.method, message.path, message.headers, message.body
+        ),
+        organisation=message.organisation,
+        key_identifier=message.key_identifier,
+        importance=message.importance,
+        deadline=node.time.now() + clock.Milliseconds(message.remaining_ms),
+        idempotency_key=message.idempotency_key,
+        depth=message.depth,
+    )
+
+
+@_handle.register
+def _(
+    message: messages.StatusRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.StatusReply:
+    """Report state and load."""
+    del message, connection
+    return messages.StatusReply(load=node.report_load())
--- /dev/null
+++ b/cyclamenwell/node/headers.py
@@ -0,0 +1,91 @@
+"""Header names of the project and filtering of hop-by-hop headers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from cyclamenwell.generated import messages
+
+__all__ = [
+    "AUTHORIZATION",
+    "CONTEXT",
+    "IDEMPOTENCY_KEY",
+    "ORGANISATION",
+    "OUTCOME",
+    "TIMEOUT_MS",
+    "keep_end_to_end",
+    "strip_request",
+]
+
+AUTHORIZATION = "authorization"
+CONTEXT = "cyclamenwell-context"
+IDEMPOTENCY_KEY = "idempotency-key"
+ORGANISATION = "cyclamenwell-organisation"
+OUTCOME = "cyclamenwell-outcome"
+TIMEOUT_MS = "cyclamenwell-timeout-ms"
+
+_PREFIX = "cyclamenwell-"
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_SECRET = frozenset({AUTHORIZATION, "host"})
+
+
+def _list_named(value: str) -> frozenset[str]:
+    """Return the headers that a Connection header names as hop-by-hop."""
+    return frozenset(part.strip().lower() for part in value.split(","))
+
+
+def strip_request(
+    headers: Iterable[messages.Header],
+) -> tuple[messages.Header, ...]:
+    """Return the headers of a request that may reach a target.
+
+    Notes
+    -----
+    The key, hop-by-hop headers and all headers of the project are removed, so
+    that a caller can not forge what a node tells a target.
+    """
+    kept = tuple(headers)
+    named = frozenset().union(
+        *(_list_named(h.value) for h in kept if h.name == "connection")
+    )
+    return tuple(
+        header
+        for header in kept
+        if header.name not in _HOP_BY_HOP
+        and header.name not in _SECRET
+        and header.name not in named
+        and not header.name.startswith(_PREFIX)
+    )
+
+
+def keep_end_to_end(headers: Mapping[str, str]) -> tuple[messages.Header, ...]:
+    """Return the headers of a target's answer that belong to the caller.
+
+    Notes
+    -----
+    Headers of the project are removed, so that only a node can state the
+    outcome of a request.
+    """
+    named = _list_named(headers.get("connection", ""))
+    return tuple(
+        messages.Header(name.lower(), value)
+        for name, value in headers.items()
+        if name.lower() not in _HOP_BY_HOP
+        and name.lower() not in named
+        and not name.lower().startswith(_PREFIX)
+    )
--- /dev/null
+++ b/cyclamenwell/node/main.py
@@ -0,0 +1,58 @@
+"""Program ``cyclamenwell-node``: the process beside a target."""
+
+from __future__ import annotations
+
+import pathlib
+import signal
+import threading
+from typing import Annotated
+
+import typer
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.node import process
+from cyclamenwell.settings import files
+from cyclamenwell.telemetry import logs
+
+__all__ = ["run", "serve"]
+
+_EXIT_BAD_SETTINGS = 2
+_EXIT_UNFINISHED = 3
+_STACK_BYTES = 256 * 1024  # A thread for each connection needs small stacks.
+
+
+def serve(
+    path: Annotated[
+        pathlib.Path, typer.Argument(help="Settings file in YAML.")
+    ],
+) -> None:
+    """Run a node beside a target until SIGTERM or SIGINT.
+
+    Exit status: 0 after a stop that cut no request, 2 for bad settings, 3 if
+    requests were still running after the longest drain time.
+    """
+    logs.set_up()
+    try:
+        loaded = files.load_settings(path)
+    except exceptions.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(_EXIT_BAD_SETTINGS) from error
+    threading.stack_size(_STACK_BYTES)
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    node = process.Node(loaded, clock.SystemClock())
+    threading.Thread(target=node.start, name="start", daemon=True).start()
+    stopping.wait()
+    if not node.stop():
+        raise typer.Exit(_EXIT_UNFINISHED)
+
+
+def run() -> None:
+    """Run the program."""
+    typer.run(serve)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/cyclamenwell/node/parts.py
@@ -0,0 +1,55 @@
+"""The parts of a node that messages and operators reach."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cyclamenwell import clock
+from cyclamenwell.configuration import audit
+from cyclamenwell.configuration import store as stores
+from cyclamenwell.generated import messages
+from cyclamenwell.generated import settings
+from cyclamenwell.membership import directory as directories
+from cyclamenwell.node import cancellation as cancellations
+from cyclamenwell.node import executor as executors
+from cyclamenwell.peers import identity as identities
+
+__all__ = ["Parts"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """Parts of one node.
+
+    Parameters
+    ----------
+    settings : settings.NodeSettings
+        Settings.
+    identity : identities.Identity
+        Identity towards peers.
+    time : clock.Clock
+        Clock of all parts.
+    trail : audit.AuditTrail
+        Audit trail.
+    store : stores.Store
+        Configuration in force.
+    directory : directories.Directory
+        Instances and their reports.
+    executor : executors.Executor
+        Runs calls at the own target.
+    watcher : cancellations.DisconnectWatcher
+        Watches connections of running calls.
+    """
+
+    settings: settings.NodeSettings
+    identity: identities.Identity
+    time: clock.Clock
+    trail: audit.AuditTrail
+    store: stores.Store
+    directory: directories.Directory
+    executor: executors.Executor
+    watcher: cancellations.DisconnectWatcher
+
+    def report_load(self) -> messages.LoadReport:
+        """Return state and load of this instance."""
+        return self.executor.report_load(self.identity.incarnation)
--- /dev/null
+++ b/cyclamenwell/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Transport of messages between nodes."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/peers/server.py
@@ -0,0 +1,108 @@
+"""Serving messages of other nodes, one thread for each connection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import socket
+import threading
+from typing import Any
+
+from cyclamenwell import exceptions
+from cyclamenwell.peers import wire
+from cyclamenwell.telemetry import logs
+
+__all__ = ["Handler", "PeerServer"]
+
+_log = logs.PartLog("peers")
+_BACKLOG = 1024
+
+Handler = Callable[[Any, socket.socket], Any]
+
+
+class PeerServer:
+    """Listens for peers.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    handler : Handler
+        Takes a message and the connection it came on, returns the reply.
+    """
+
+    def __init__(self, host: str, port: int, handler: Handler) -> None:
+        self._handler = handler
+        self._lock = threading.Lock()
+        self._connections: set[socket.socket] = set()
+        self._listener = socket.create_server(
+            (host, port), backlog=_BACKLOG, reuse_port=False
+        )
+        self._thread = threading.Thread(
+            target=self._accept, name="peer-accept", daemon=True
+        )
+
+    @property
+    def port(self) -> int:
+        """Port on which the server listens."""
+        return self._listener.getsockname()[1]
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Close the listener and all connections."""
+        # shutdown() wakes the thread that waits in accept(); close() does not.
+        _shut_down(self._listener)
+        self._listener.close()
+        with self._lock:
+            connections = tuple(self._connections)
+        for connection in connections:
+            _shut_down(connection)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with self._lock:
+                self._connections.add(connection)
+            threading.Thread(
+                target=self._serve,
+                args=(connection,),
+                name="peer-connection",
+                daemon=True,
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        try:
+            self._converse(connection)
+        except OSError:
+            pass  # The peer is gone; its own side decides what to do.
+        except exceptions.ProtocolError as error:
+            _log.warn("closing a connection: %s", error)
+        except Exception:
+            _log.fail("handling a message failed")
+        finally:
+            with self._lock:
+                self._connections.discard(connection)
+            connection.close()
+
+    def _converse(self, connection: socket.socket) -> None:
+        while True:
+            frame = wire.receive_frame(connection)
+            if frame is None:
+                return
+            reply = self._handler(wire.decode(frame), connection)
+            wire.send_frame(connection, wire.encode(reply))
+
+
+def _shut_down(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
--- /dev/null
+++ b/cyclamenwell/retries/__init__.py
@@ -0,0 +1,3 @@
+"""Bounds on retries over a call chain and for a node."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Matching routes and choosing instances."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of the programs, written in YAML."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/settings/files.py
@@ -0,0 +1,79 @@
+"""Reading the settings file of a node."""
+
+from __future__ import annotations
+
+import pathlib
+
+from cyclamenwell import exceptions
+from cyclamenwell.generated import settings
+from cyclamenwell.schema import reader
+
+__all__ = ["load_settings", "read_settings"]
+
+
+def read_settings(text: str, source: str) -> settings.NodeSettings:
+    """Read the settings of a node.
+
+    Parameters
+    ----------
+    text : str
+        YAML text.
+    source : str
+        Name of the file for error messages.
+
+    Returns
+    -------
+    settings.NodeSettings
+        Checked settings.
+
+    Raises
+    ------
+    exceptions.SettingsError
+        If a field is unknown, missing, of a wrong type or out of bounds, or if
+        fields contradict each other.
+    """
+    loaded = reader.read_struct(
+        settings.NodeSettings, text, source, exceptions.SettingsError
+    )
+    problems = tuple(f"{source}: {p}" for p in _find_conflicts(loaded))
+    if problems:
+        raise exceptions.SettingsError(problems)
+    return loaded
+
+
+def load_settings(path: pathlib.Path) -> settings.NodeSettings:
+    """Read the settings file of a node.
+
+    Raises
+    ------
+    exceptions.SettingsError
+        If the file can not be read, or for the reasons of `read_settings`.
+    """
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as failure:
+        raise exceptions.SettingsError(
+            (f"{path}: can not be read: {failure}",)
+        ) from failure
+    return read_settings(text, str(path))
+
+
+def _find_conflicts(loaded: settings.NodeSettings) -> list[str]:
+    problems = []
+    ports = (
+        loaded.instance.caller_port,
+        loaded.instance.peer_port,
+        loaded.instance.target_side_port,
+        loaded.instance.operations_port,
+    )
+    if len(set(ports)) < len(ports):
+        problems.append("instance: the four ports must differ")
+    if loaded.limits.share_stop >= loaded.limits.share_hold:
+        problems.append("limits.share_stop: must be below limits.share_hold")
+    if loaded.platform.min_backoff > loaded.platform.max_backoff:
+        problems.append("platform.min_backoff: must not exceed max_backoff")
+    for seed in loaded.peers.seeds:
+        host, _, port = seed.rpartition(":")
+        if not host or not port.isdigit():
+            problems.append(f"peers.seeds: got {seed!r}, must be host:port")
+    return problems
--- /dev/null
+++ b/cyclamenwell/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Logs and metrics."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/testing/__init__.py
@@ -0,0 +1,3 @@
+"""Helpers shared by the tests of several packages."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/testing/builders.py
@@ -0,0 +1,140 @@
+"""Builders of test data shared by several packages."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+from cyclamenwell.documents import parser
+from cyclamenwell.generated import documents
+from cyclamenwell.generated import messages
+from cyclamenwell.generated import settings
+from cyclamenwell.keys import authenticator
+from cyclamenwell.settings import files
+
+__all__ = [
+    "build_fleet_text",
+    "build_instance",
+    "build_organisation_text",
+    "build_service",
+    "build_service_text",
+    "build_settings",
+    "find_free_ports",
+]
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports on loopback that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+def build_service_text(
+    service: str = "billing",
+    organisation: str = "shops",
+    rate: float = 1000,
+    burst: float = 100,
+    extra: str = "",
+) -> str:
+    """Return a service document with a read, a write and an open route."""
+    return f"""\
+service: {service}
+owner: team-{service}
+routes:
+  - path: /accounts/{{id}}
+    methods: [GET]
+    idempotent: true
+  - path: /charges
+    methods: [POST]
+    importance: critical
+  - path: /about
+    methods: [GET]
+    idempotent: true
+    open_to_all: true
+callers:
+  - organisation: {organisation}
+    rate_per_second: {rate}
+    burst: {burst}
+{extra}"""
+
+
+def build_service(**values: Any) -> documents.ServiceDocument:
+    """Return the service document of `build_service_text`."""
+    text = build_service_text(**values)
+    name = f"service/{values.get('service', 'billing')}"
+    return parser.parse_document(name, 1, text).content
+
+
+def build_organisation_text(organisation: str, *keys: str) -> str:
+    """Return an organisation's document with the digests of its keys."""
+    if not keys:
+        return f"organisation: {organisation}\n"
+    lines = "".join(
+        f"  - digest: {authenticator.compute_digest(key).hex()}\n"
+        for key in keys
+    )
+    return f"organisation: {organisation}\nkeys:\n{lines}"
+
+
+def build_fleet_text(*data_centres_out: str) -> str:
+    """Return a fleet document that takes data centres out."""
+    return f"data_centres_out: [{', '.join(data_centres_out)}]\n"
+
+
+def build_instance(**values: Any) -> messages.InstanceEntry:
+    """Return an entry of the instance list."""
+    defaults = {
+        "instance": "billing-1",
+        "service": "billing",
+        "data_centre": "dc-a",
+        "region": "r-1",
+        "host": "127.0.0.1",
+        "caller_port": 1,
+        "peer_port": 2,
+    }
+    return messages.InstanceEntry(**{**defaults, **values})
+
+
+def build_settings(
+    entry: messages.InstanceEntry,
+    platform_port: int,
+    target_port: int,
+    other_ports: tuple[int, int],
+    extra: str = "",
+) -> settings.NodeSettings:
+    """Return the settings of a node for a listed instance.
+
+    Parameters
+    ----------
+    entry : messages.InstanceEntry
+        Entry of the instance.
+    platform_port, target_port : int
+        Ports of platform and target on loopback.
+    other_ports : tuple of int
+        Target-side port and operations port.
+    extra : str
+        Further sections in YAML.
+    """
+    text = f"""\
+instance:
+  name: {entry.instance}
+  service: {entry.service}
+  data_centre: {entry.data_centre}
+  region: {entry.region}
+  host: {entry.host}
+  caller_port: {entry.caller_port}
+  peer_port: {entry.peer_port}
+  target_side_port: {other_ports[0]}
+  operations_port: {other_ports[1]}
+target:
+  port: {target_port}
+platform:
+  url: http://127.0.0.1:{platform_port}
+{extra}"""
+    return files.read_settings(text, "settings.yaml")
--- /dev/null
+++ b/cyclamenwell/testing/fleet.py
@@ -0,0 +1,166 @@
+"""A few nodes with stand-ins in one process, for tests."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from typing import Any
+
+import urllib3
+
+from cyclamenwell import clock
+from cyclamenwell.generated import messages
+from cyclamenwell.node import process
+from cyclamenwell.standin import platform as platforms
+from cyclamenwell.standin import target as targets
+from cyclamenwell.testing import builders
+
+__all__ = ["Fleet", "Member", "wait_until"]
+
+_LOOPBACK = "127.0.0.1"
+_PATIENCE_SECONDS = 20.0
+_POLL_SECONDS = 0.01
+
+
+def wait_until(condition: Any, what: str) -> None:
+    """Wait for a condition that must come true.
+
+    Raises
+    ------
+    AssertionError
+        If it is still false after 20 s.
+    """
+    end = time.monotonic() + _PATIENCE_SECONDS
+    while not condition():
+        assert time.monotonic() < end, f"timed out waiting until {what}"
+        time.sleep(_POLL_SECONDS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A node with its target.
+
+    Parameters
+    ----------
+    entry : messages.InstanceEntry
+        Its entry in the list.
+    node : process.Node
+        The node.
+    target : targets.TargetStandin
+        The target.
+    target_side_port : int
+        Loopback port for further calls of the target.
+    operations_port : int
+        Loopback port for operators.
+    """
+
+    entry: messages.InstanceEntry
+    node: process.Node
+    target: targets.TargetStandin
+    target_side_port: int
+    operations_port: int
+
+
+class Fleet:
+    """Platform, targets and nodes on loopback."""
+
+    def __init__(self) -> None:
+        self.platform = platforms.PlatformStandin(_LOOPBACK, 0)
+        self.platform.start()
+        self.members: dict[str, Member] = {}
+        self._http = urllib3.PoolManager(retries=False, maxsize=64)
+
+    def add(
+        self,
+        instance: str,
+        service: str,
+        data_centre: str = "dc-a",
+        extra: str = "",
+        **plan: Any,
+    ) -> Member:
+        """Add an instance; call `start` after the last one."""
+        caller, peer, target_side, operations = builders.find_free_ports(4)
+        entry = builders.build_instance(
+            instance=instance,
+            service=service,
+            data_centre=data_centre,
+            caller_port=caller,
+            peer_port=peer,
+        )
+        target = targets.TargetStandin(
+            _LOOPBACK,
+            0,
+            targets.TargetPlan(name=instance, node_port=target_side, **plan),
+        )
+        target.start()
+        loaded = builders.build_settings(
+            entry,
+            self.platform.port,
+            target.port,
+            (target_side, operations),
+            extra,
+        )
+        node = process.Node(loaded, clock.SystemClock())
+        member = Member(entry, node, target, target_side, operations)
+        self.members[instance] = member
+        return member
+
+    def publish_list(self) -> None:
+        """Publish the list of all members."""
+        self.platform.list_instances(
+            [
+                {
+                    spec.name: getattr(member.entry, spec.name)
+                    for spec in messages.InstanceEntry.FIELDS
+                    if spec.name != "state"
+                }
+                | {"state": "serving"}
+                for member in self.members.values()
+            ]
+        )
+
+    def start(self) -> None:
+        """Publish the list and start all nodes."""
+        self.publish_list()
+        for member in self.members.values():
+            member.node.start()
+
+    def stop(self) -> None:
+        """Stop all nodes."""
+        for member in self.members.values():
+            member.node.stop()
+
+    def call(
+        self,
+        instance: str,
+        service: str,
+        path: str,
+        key: str = "",
+        method: str = "GET",
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request to the caller port of an instance."""
+        sent = dict(headers or {})
+        if key:
+            sent["Authorization"] = f"Bearer {key}"
+        port = self.members[instance].entry.caller_port
+        return self.send(port, service, path, sent, method, body)
+
+    def send(
+        self,
+        port: int,
+        service: str,
+        path: str,
+        headers: dict[str, str],
+        method: str = "GET",
+        body: bytes = b"",
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request to any port on loopback."""
+        return self._http.request(
+            method,
+            f"http://{_LOOPBACK}:{port}{path}",
+            headers={"Host": service, **headers},
+            body=body or None,
+            timeout=20,
+        )
