--- /dev/null
+++ b/cyclamenwell/peers/tests/test_transport.py
@@ -0,0 +1,144 @@
+"""Encoding of messages, and exchanges that end early or late."""
+
+import socket
+import threading
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
+from cyclamenwell.peers import client as peer_clients
+from cyclamenwell.peers import server as peer_servers
+from cyclamenwell.peers import wire
+
+LOOPBACK = "127.0.0.1"
+TIMEOUT = clock.Milliseconds(5000)
+
+
+@pytest.mark.parametrize("name", sorted(messages.WIRE_TYPES))
+def test_every_message_survives_the_wire(name):
+    """Guards against a class that the codec can not build again."""
+    message = messages.WIRE_TYPES[name]()
+    assert wire.decode(wire.encode(message)) == message
+
+
+def test_nested_values_keep_their_types():
+    """Guards against enumerations and lists coming back as plain values."""
+    message = messages.ForwardReply(
+        call_id=b"\x00\xff",
+        refusal=enumerations.ErrorKind.OVERLOADED,
+        headers=(messages.Header("a", "\u00e9"),),
+        load=messages.LoadReport(state=enumerations.InstanceState.LEAVING),
+    )
+    decoded = wire.decode(wire.encode(message))
+    assert decoded == message
+    assert decoded.refusal is enumerations.ErrorKind.OVERLOADED
+    assert decoded.load.state is enumerations.InstanceState.LEAVING
+    assert isinstance(decoded.headers, tuple)
+
+
+@hypothesis.given(
+    strategies.binary(max_size=200),
+    strategies.integers(min_value=0, max_value=400),
+)
+def test_malformed_frames_raise_only_protocol_errors(noise, position):
+    """Guards against a peer's malformed frame ending a thread."""
+    whole = wire.encode(
+        messages.FetchReply((messages.DocumentText("a", 1, "b"),))
+    )
+    for frame in (noise, whole[:position] + noise + whole[position:]):
+        try:
+            wire.decode(frame)
+        except exceptions.ProtocolError:
+            continue
+
+
+class Peer:
+    """A peer server whose handler waits for a signal when told to."""
+
+    def __init__(self):
+        self.go_on = threading.Event()
+        self.started = threading.Event()
+        self.server = peer_servers.PeerServer(LOOPBACK, 0, self.handle)
+        self.server.start()
+        self.address = peer_clients.Address(LOOPBACK, self.server.port)
+
+    def handle(self, message, connection):
+        del connection
+        if message.revision == 1:
+            self.started.set()
+            self.go_on.wait(10)
+        return messages.ListReply(revision=message.revision)
+
+
+@pytest.fixture
+def peer():
+    made = Peer()
+    yield made
+    made.go_on.set()
+    made.server.close()
+
+
+def test_late_reply_is_not_taken_for_the_next_one(peer):
+    """Guards against a reply that reaches another request's caller."""
+    client = peer_clients.PeerClient(TIMEOUT)
+    with pytest.raises(exceptions.PeerUnavailableError) as caught:
+        client.call(
+            peer.address,
+            messages.ListRequest(revision=1),
+            clock.Milliseconds(50),
+        )
+    assert caught.value.sent
+    peer.go_on.set()
+    reply = client.call(peer.address, messages.ListRequest(revision=2), TIMEOUT)
+    assert reply.revision == 2
+
+
+def test_closed_address_is_reported_as_refused_and_not_sent(peer):
+    """Guards against treating a dead peer's request as perhaps run."""
+    client = peer_clients.PeerClient(TIMEOUT)
+    peer.server.close()
+    with pytest.raises(exceptions.PeerUnavailableError) as caught:
+        client.call(peer.address, messages.ListRequest(), TIMEOUT)
+    assert caught.value.refused
+    assert not caught.value.sent
+
+
+def test_idle_connection_closed_by_the_peer_is_not_used():
+    """Guards against an unknown outcome after a peer's restart."""
+    listener = socket.create_server((LOOPBACK, 0))
+    address = peer_clients.Address(LOOPBACK, listener.getsockname()[1])
+    client = peer_clients.PeerClient(TIMEOUT)
+    closed = [threading.Event(), threading.Event()]
+
+    def answer_one_on_each():
+        for revision in (1, 2):
+            connection, _ = listener.accept()
+            wire.receive_frame(connection)
+            reply = messages.ListReply(revision=revision)
+            wire.send_frame(connection, wire.encode(reply))
+            connection.shutdown(socket.SHUT_RDWR)
+            connection.close()
+            closed[revision - 1].set()
+
+    thread = threading.Thread(target=answer_one_on_each)
+    thread.start()
+    for revision in (1, 2):
+        reply = client.call(address, messages.ListRequest(), TIMEOUT)
+        assert reply.revision == revision
+        assert closed[revision - 1].wait(10)
+    thread.join(10)
+    listener.close()
+
+
+def test_oversize_frame_closes_the_connection(peer):
+    """Guards against a length field that makes a node allocate memory."""
+    with socket.create_connection(
+        (LOOPBACK, peer.server.port), 5
+    ) as connection:
+        connection.sendall((wire.MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
+        assert connection.recv(1) == b""
