--- /dev/null
+++ b/cyclamenwell/commands/main.py
@@ -0,0 +1,193 @@
+"""Program ``cyclamenwell``: the command line for operators."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import Annotated
+
+import typer
+
+from cyclamenwell import exceptions
+from cyclamenwell.commands import folders
+from cyclamenwell.commands import nodes
+from cyclamenwell.commands import output as outputs
+from cyclamenwell.documents import changes
+from cyclamenwell.documents import parser
+from cyclamenwell.keys import authenticator
+from cyclamenwell.settings import files
+
+__all__ = ["app", "run"]
+
+EXIT_PROBLEMS = 1
+EXIT_UNREACHABLE = 3
+
+_EPILOG = (
+    "Exit status: 0 success, 1 problems found, 2 wrong usage, "
+    "3 a node does not answer."
+)
+
+app = typer.Typer(
+    help="Check documents, see what a change would do, look at nodes.",
+    epilog=_EPILOG,
+    no_args_is_help=True,
+)
+key_app = typer.Typer(help="Make keys and their digests.", no_args_is_help=True)
+app.add_typer(key_app, name="key")
+
+Paths = Annotated[
+    list[pathlib.Path],
+    typer.Argument(help="Documents, or folders of documents.", exists=True),
+]
+Nodes = Annotated[
+    list[str],
+    typer.Option(
+        "--node", help="host:port of an operations endpoint; may be repeated."
+    ),
+]
+Form = Annotated[outputs.Output, typer.Option("--output", help="Form.")]
+
+
+@app.command(epilog="Example: cyclamenwell check documents/")
+def check(paths: Paths) -> None:
+    """Check documents, all at once, and print every problem with its place.
+
+    A file is service/<name>.yaml, organisation/<name>.yaml or fleet.yaml.
+    """
+    result = folders.check_folder(paths)
+    for problem in result.problems:
+        typer.echo(problem, err=True)
+    if result.problems:
+        raise typer.Exit(EXIT_PROBLEMS)
+    typer.echo(f"{len(result.parsed)} documents, no problems")
+
+
+@app.command(
+    "check-settings", epilog="Example: cyclamenwell check-settings node.yaml"
+)
+def check_settings(
+    path: Annotated[pathlib.Path, typer.Argument(help="Settings of a node.")],
+) -> None:
+    """Check the settings file of a node."""
+    try:
+        files.load_settings(path)
+    except exceptions.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_PROBLEMS) from error
+    typer.echo("no problems")
+
+
+@app.command(
+    epilog="Example: cyclamenwell diff --node 127.0.0.1:9104 documents/"
+)
+def diff(
+    paths: Paths,
+    node: Annotated[
+        str, typer.Option(help="host:port of an operations endpoint.")
+    ] = "",
+    old: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Folder to compare with, instead of a node."),
+    ] = None,
+) -> None:
+    """Say in words what documents would change."""
+    if (old is None) == (not node):
+        raise typer.BadParameter("give either --node or --old")
+    result = folders.check_folder(paths)
+    if result.problems:
+        typer.echo("\n".join(result.problems), err=True)
+        raise typer.Exit(EXIT_PROBLEMS)
+    current = _read_old(old) if old else _read_node(node)
+    lines = [
+        f"{document.name}: {change}{_name_version(current.get(document.name))}"
+        for document in result.parsed
+        for change in changes.describe_change(
+            current.get(document.name), document
+        )
+    ]
+    typer.echo("\n".join(lines) if lines else "no changes")
+
+
+def _read_old(old: pathlib.Path) -> dict[str, parser.ParsedDocument]:
+    result = folders.check_folder([old])
+    return {document.name: document for document in result.parsed}
+
+
+def _read_node(node: str) -> dict[str, parser.ParsedDocument]:
+    return {
+        raw["name"]: parser.parse_document(
+            raw["name"], raw["version"], raw["text"]
+        )
+        for raw in _fetch(node, "/documents")
+    }
+
+
+def _name_version(old: parser.ParsedDocument | None) -> str:
+    return f" (from version {old.version})" if old else ""
+
+
+@app.command(epilog="Example: cyclamenwell status --node 127.0.0.1:9104")
+def status(
+    node: Nodes, output: Form = outputs.Output.TABLE, instances: bool = False
+) -> None:
+    """Show the state of nodes, or with --instances the fleet as they see it."""
+    if instances:
+        rows = [
+            {"seen_by": one} | row
+            for one in node
+            for row in _fetch(one, "/instances")
+        ]
+        columns = ["seen_by", "instance", "service", "data_centre", "listed"]
+        columns += ["reported", "in_progress", "limit", "cold", "gone"]
+        columns.append("heard_ms_ago")
+    else:
+        rows = [_fetch(one, "/status") for one in node]
+        columns = ["instance", "service", "data_centre", "state"]
+        columns += ["in_progress", "queued", "limit", "cold", "list_revision"]
+    outputs.print_rows(rows, columns, output)
+
+
+@app.command(epilog="Example: cyclamenwell audit --node 127.0.0.1:9104")
+def audit(node: Nodes, output: Form = outputs.Output.TABLE) -> None:
+    """Show the audit trail of nodes, oldest entry first."""
+    rows = [row for one in node for row in _fetch(one, "/audit")]
+    rows.sort(key=lambda row: row["at_ms"])
+    columns = ["at_ms", "instance", "document", "version", "accepted"]
+    outputs.print_rows(rows, [*columns, "origin", "details"], output)
+
+
+@key_app.command("make", epilog="Example: cyclamenwell key make")
+def make_key(output: Form = outputs.Output.TABLE) -> None:
+    """Make a key for a caller and the digest for its organisation."""
+    key = authenticator.make_key()
+    digest = authenticator.compute_digest(key).hex()
+    outputs.print_rows(
+        [{"key": key, "digest": digest}], ["key", "digest"], output
+    )
+
+
+@key_app.command("digest", epilog="Example: cyclamenwell key digest < key-file")
+def digest_key() -> None:
+    """Print the digest of a key that comes on standard input."""
+    key = sys.stdin.read().strip()
+    if not key:
+        typer.echo("no key on standard input", err=True)
+        raise typer.Exit(EXIT_PROBLEMS)
+    typer.echo(authenticator.compute_digest(key).hex())
+
+
+def _fetch(node: str, path: str) -> list | dict:
+    try:
+        return nodes.fetch(node, path)
+    except exceptions.PeerUnavailableError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_UNREACHABLE) from error
+
+
+def run() -> None:
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    run()
--- a/cyclamenwell/documents/parser.py
+++ b/cyclamenwell/documents/parser.py
@@ -55,7 +55,9 @@
     content: Content
 
 
-def parse_document(name: str, version: int, text: str) -> ParsedDocument:
+def parse_document(
+    name: str, version: int, text: str, source: str = ""
+) -> ParsedDocument:
     """Read a document.
 
     Parameters
@@ -66,6 +68,8 @@
         Version given by the platform.
     text : str
         YAML text; an empty text removes the document.
+    source : str
+        What error messages name as the place, `name` if it is empty.
 
     Returns
     -------
@@ -78,22 +82,23 @@
         With every problem found, each naming its place.
     """
     cls = _find_class(name)
+    source = source or name
     if version < 1:
         raise exceptions.DocumentError(
-            (f"{name}: got version {version}, must be at least 1",)
+            (f"{source}: got version {version}, must be at least 1",)
         )
     size = len(text.encode("utf-8", "surrogatepass"))
     if size > MAX_DOCUMENT_BYTES:
         raise exceptions.DocumentError(
             (
-                f"{name}: has {size} bytes, must have at most "
+                f"{source}: has {size} bytes, must have at most "
                 f"{MAX_DOCUMENT_BYTES}",
             )
         )
     if not text.strip():
         return ParsedDocument(name, version, "", RemovedDocument())
-    content = reader.read_struct(cls, text, name, exceptions.DocumentError)
-    problems = tuple(f"{name}: {p}" for p in _find_problems(content, name))
+    content = reader.read_struct(cls, text, source, exceptions.DocumentError)
+    problems = tuple(f"{source}: {p}" for p in _find_problems(content, name))
     if problems:
         raise exceptions.DocumentError(problems)
     return ParsedDocument(name, version, text, content)
--- a/cyclamenwell/node/operations.py
+++ b/cyclamenwell/node/operations.py
@@ -6,7 +6,9 @@
 import socket
 from typing import Any
 
+from cyclamenwell import clock
 from cyclamenwell.generated import messages
+from cyclamenwell.membership import directory as directories
 from cyclamenwell.node import calls
 from cyclamenwell.node import parts
 from cyclamenwell.telemetry import metrics
@@ -43,7 +45,15 @@
             return _build_json(self._describe_status())
         if path == "/audit":
             return _build_json(self._describe_audit())
-        return _build_answer(404, _TEXT, b"see /metrics, /status, /audit\n")
+        if path == "/instances":
+            return _build_json(self._describe_instances())
+        if path == "/documents":
+            return _build_json(self._describe_documents())
+        return _build_answer(
+            404,
+            _TEXT,
+            b"see /metrics, /status, /audit, /instances, /documents\n",
+        )
 
     def _describe_status(self) -> dict[str, Any]:
         node = self._node
@@ -67,6 +77,27 @@
             },
         }
 
+    def _describe_instances(self) -> list[dict[str, Any]]:
+        directory = self._node.directory
+        return [
+            _describe_instance(
+                entry,
+                directory.find_record(entry.instance),
+                self._node.time.now(),
+            )
+            for entry in directory.current.entries.values()
+        ]
+
+    def _describe_documents(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "name": document.name,
+                "version": document.version,
+                "text": document.text,
+            }
+            for document in self._node.store.snapshot.parsed.values()
+        ]
+
     def _describe_audit(self) -> list[dict[str, Any]]:
         return [
             {
@@ -82,6 +113,31 @@
         ]
 
 
+def _describe_instance(
+    entry: messages.InstanceEntry,
+    record: directories.PeerRecord,
+    now: clock.Milliseconds,
+) -> dict[str, Any]:
+    described: dict[str, Any] = {
+        "instance": entry.instance,
+        "service": entry.service,
+        "data_centre": entry.data_centre,
+        "listed": entry.state.name.lower(),
+        "gone": record.gone,
+    }
+    if record.load is not None:
+        described |= {
+            "reported": record.load.state.name.lower(),
+            "in_progress": record.load.in_progress,
+            "queued": record.load.queued,
+            "limit": record.load.limit,
+            "cold": record.load.cold,
+        }
+    if record.heard_at is not None:
+        described["heard_ms_ago"] = int((now - record.heard_at).value)
+    return described
+
+
 def _build_json(value: Any) -> calls.HttpAnswer:
     return _build_answer(200, _JSON, json.dumps(value).encode())
 
