Choose instances by load, bound retries, and stop without cutting requests

Cause: calls went to a random listed instance, a failed further call could be retried by several hops, http.client and cheroot took truncated bodies for whole, and a stop could reset connections.

Change: the chooser weighs reports, own outstanding calls, refusals and distance; overload is refused near the caller; a further call that fails marks its context; answers and requests are framed strictly and read before one deadline; a node that stops passes requests on, drains from the outside in, and drops new handshakes before it closes a listener.

Conclusion: in the tests no request is lost or run twice.

--- a/cyclamenwell/keys/contexts.py
+++ b/cyclamenwell/keys/contexts.py
@@ -34,7 +34,7 @@
     allowance : allowances.RetryAllowance
         Retries that the request still holds.
     failure : FailureMark
-        Whether a failed further call was already retried.
+        What its further calls came to.
     """
 
     organisation: str
@@ -47,9 +47,20 @@
 
 
 class FailureMark:
-    """Remembers that a failure below this request was already retried."""
+    """Remembers what the further calls of a request came to.
+
+    Attributes
+    ----------
+    called : bool
+        Whether a further call was made, so the target has begun to run the
+        request.
+    retried : bool
+        Whether a further call failed. The node of this request is the hop
+        right above that failure, so no hop further up retries it.
+    """
 
     def __init__(self) -> None:
+        self.called = False
         self.retried = False
 
 
--- a/cyclamenwell/node/cancellation.py
+++ b/cyclamenwell/node/cancellation.py
@@ -76,7 +76,8 @@
     def close(self) -> None:
         """Stop the watching thread."""
         os.write(self._wake_write, b"x")
-        self._thread.join()
+        if self._thread.ident is not None:
+            self._thread.join()
         self._epoll.close()
         os.close(self._wake_read)
         os.close(self._wake_write)
@@ -113,6 +114,9 @@
                     return
                 with self._lock:
                     cancellation = self._watched.get(number)
+                    # The number may belong to a newer connection by now.
+                    if cancellation is not None and not _has_ended(number):
+                        cancellation = None
                 if cancellation is not None:
                     self._cancel(cancellation)
 
@@ -122,3 +126,9 @@
         except Exception:
             # The watcher serves all calls and must outlive a failing callback.
             _log.fail("cancelling a call failed")
+
+
+def _has_ended(number: int) -> bool:
+    poller = select.poll()
+    poller.register(number, select.POLLRDHUP)
+    return bool(poller.poll(0))
--- a/cyclamenwell/node/dispatcher.py
+++ b/cyclamenwell/node/dispatcher.py
@@ -2,11 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-import contextlib
-import functools
-import socket
-
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import store as stores
@@ -22,11 +17,13 @@
 from cyclamenwell.retries import budget as budgets
 from cyclamenwell.retries import policy
 from cyclamenwell.routing import chooser as choosers
+from cyclamenwell.routing import overload
+from cyclamenwell.routing import standings as standing
 
 __all__ = ["Dispatcher"]
 
 _Kind = enumerations.ErrorKind
-_State = enumerations.InstanceState
+_MAX_RATE_LIMITED = 2  # A second instance may have tokens left; no third.
 
 
 class Dispatcher:
@@ -44,6 +41,10 @@
         Instances and their reports.
     chooser : choosers.Chooser
         Chooses instances.
+    standings : standing.Standings
+        Learns from the outcome of each attempt.
+    guard : overload.OverloadGuard
+        Refuses calls to overloaded services before they are sent.
     executor : executors.Executor
         Runs calls at the own target.
     client : peer_clients.PeerClient
@@ -59,6 +60,8 @@
         store: stores.Store,
         directory: directories.Directory,
         chooser: choosers.Chooser,
+        standings: standing.Standings,
+        guard: overload.OverloadGuard,
         executor: executors.Executor,
         client: peer_clients.PeerClient,
         budget: budgets.RetryBudget,
@@ -68,6 +71,8 @@
         self._store = store
         self._directory = directory
         self._chooser = chooser
+        self._standings = standings
+        self._guard = guard
         self._executor = executor
         self._client = client
         self._budget = budget
@@ -99,27 +104,25 @@
         exceptions.RefusedError
             With the failure of the last attempt.
         """
-        fleet = self._store.snapshot.fleet
-        self._budget.earn(fleet.retry_ratio)
+        self._budget.earn(self._store.snapshot.fleet.retry_ratio)
+        self._guard.check(call.service, call.organisation, call.importance)
         tried: set[str] = set()
-        last: exceptions.RefusedError | None = None
+        rate_limited = 0
+        entry = self._choose(call, tried)
         while True:
-            try:
-                entry = self._choose(call, tried)
-            except exceptions.RefusedError as refusal:
-                raise last or refusal from None
             tried.add(entry.instance)
             try:
                 return self._attempt(call, entry, allowance, cancellation)
             except exceptions.RefusedError as refusal:
                 last = refusal
-            if not policy.may_try_elsewhere(last, call.route.idempotent):
-                raise last
-            if call.deadline <= self._time.now() or cancellation.cancelled:
-                raise last
-            if not self._budget.spend() or not allowance.spend():
-                last.retried = len(tried) > 1
+            rate_limited += last.kind is _Kind.RATE_LIMITED
+            following = None
+            if rate_limited < _MAX_RATE_LIMITED and not cancellation.cancelled:
+                following = self._plan_retry(call, last, tried, allowance)
+            if following is None:
+                last.retried = last.retried or len(tried) > 1
                 raise last
+            entry = following
 
     def _choose(
         self, call: calls.Call, tried: set[str]
@@ -128,6 +131,26 @@
             call.service, self._store.snapshot.data_centres_out, tried
         )
 
+    def _plan_retry(
+        self,
+        call: calls.Call,
+        last: exceptions.RefusedError,
+        tried: set[str],
+        allowance: allowances.RetryAllowance,
+    ) -> messages.InstanceEntry | None:
+        """Return another instance if a retry is allowed, and spend it."""
+        if not policy.may_try_elsewhere(last, call.route.idempotent):
+            return None
+        if call.deadline <= self._time.now() or not allowance.held:
+            return None
+        try:
+            entry = self._choose(call, tried)
+        except exceptions.RefusedError:
+            return None
+        if not self._budget.spend() or not allowance.spend():
+            return None
+        return entry
+
     def _attempt(
         self,
         call: calls.Call,
@@ -136,17 +159,43 @@
         cancellation: cancellations.Cancellation,
     ) -> calls.HttpAnswer:
         lent = allowance.lend()
+        failure = None
+        self._standings.begin(entry.instance)
         try:
             if entry.instance == self._identity.instance:
                 reply = self._executor.execute(call, lent, cancellation)
             else:
                 reply = self._forward(call, entry, lent, cancellation)
         except exceptions.RefusedError as refusal:
-            allowance.settle(lent, min(refusal.retries_left, lent))
+            failure = refusal
+            allowance.settle(lent, min(max(refusal.retries_left, 0), lent))
             raise
-        allowance.settle(lent, min(reply.retries_left, lent))
+        finally:
+            self._standings.end(entry.instance, failure)
+            self._inform_guard(call, entry, failure)
+        allowance.settle(lent, min(max(reply.retries_left, 0), lent))
         return reply.answer
 
+    def _inform_guard(
+        self,
+        call: calls.Call,
+        entry: messages.InstanceEntry,
+        failure: exceptions.RefusedError | None,
+    ) -> None:
+        if failure is None:
+            self._guard.note_answer(call.service, call.organisation)
+            return
+        if not self._guard.counts(failure.kind):
+            return
+        out = self._store.snapshot.data_centres_out
+        self._guard.note_refusal(
+            call.service,
+            call.organisation,
+            call.importance,
+            entry.instance,
+            self._chooser.count_candidates(call.service, out),
+        )
+
     def _forward(
         self,
         call: calls.Call,
@@ -154,34 +203,40 @@
         lent: int,
         cancellation: cancellations.Cancellation,
     ) -> calls.Reply:
-        request = self._build_request(call, entry, lent)
-        remaining = call.deadline - self._time.now()
-        registered: list[Callable[[], None]] = []
-
-        def note_connection(connection: socket.socket) -> None:
-            callback = functools.partial(_shut_down, connection)
-            registered.append(callback)
-            cancellation.add_callback(callback)
+        reply = self._exchange(call, entry, lent, cancellation)
+        if isinstance(reply, messages.Fault):
+            # The process was replaced, so the call has not run, and what was
+            # known of its predecessor says nothing of it.
+            self._directory.forget_load(entry.instance)
+            reply = self._exchange(call, entry, lent, cancellation)
+        if isinstance(reply, messages.Fault):
+            raise _refuse_unsent(reply.kind, reply.detail, lent)
+        return self._read_reply(reply)
 
+    def _exchange(
+        self,
+        call: calls.Call,
+        entry: messages.InstanceEntry,
+        lent: int,
+        cancellation: cancellations.Cancellation,
+    ) -> messages.ForwardReply | messages.Fault:
+        request = self._build_request(call, entry, lent)
         try:
-            reply = self._client.call(
+            return self._client.call(
                 peer_clients.Address.of(entry),
                 request,
-                remaining,
-                note_connection,
+                call.deadline - self._time.now(),
+                cancellation,
+                lambda reply: _belongs(reply, call.call_id),
             )
         except exceptions.PeerUnavailableError as error:
             if error.refused:
                 self._directory.note_gone(entry.instance)
+            if not error.sent:
+                raise _refuse_unsent(
+                    _Kind.PEER_UNREACHABLE, str(error), lent
+                ) from error
             raise self._describe_failure(error, call, cancellation) from error
-        finally:
-            for callback in registered:
-                cancellation.remove_callback(callback)
-        if isinstance(reply, messages.Fault):
-            # The instance has been replaced; its old reports say nothing.
-            self._directory.forget_load(entry.instance)
-            raise exceptions.RefusedError(reply.kind, reply.detail)
-        return self._read_reply(call, reply)
 
     def _build_request(
         self, call: calls.Call, entry: messages.InstanceEntry, lent: int
@@ -211,8 +266,6 @@
         call: calls.Call,
         cancellation: cancellations.Cancellation,
     ) -> exceptions.RefusedError:
-        if not error.sent:
-            return exceptions.RefusedError(_Kind.PEER_UNREACHABLE, str(error))
         if cancellation.cancelled:
             return exceptions.RefusedError(
                 _Kind.CANCELLED, "the caller went away"
@@ -222,13 +275,7 @@
             kind = _Kind.TIMED_OUT
         return exceptions.RefusedError(kind, str(error))
 
-    def _read_reply(self, call: calls.Call, reply: object) -> calls.Reply:
-        if not isinstance(reply, messages.ForwardReply) or (
-            reply.call_id != call.call_id
-        ):
-            raise exceptions.RefusedError(
-                _Kind.INCOMPLETE_ANSWER, "the reply belongs to another call"
-            )
+    def _read_reply(self, reply: messages.ForwardReply) -> calls.Reply:
         if reply.load is not None:
             self._directory.note_load(reply.load)
         if reply.refusal is not None:
@@ -244,6 +291,17 @@
         return calls.Reply(answer, reply.retries_left)
 
 
-def _shut_down(connection: socket.socket) -> None:
-    with contextlib.suppress(OSError):
-        connection.shutdown(socket.SHUT_RDWR)
+def _belongs(reply: object, call_id: bytes) -> bool:
+    """Return whether a message is the reply to a call."""
+    if isinstance(reply, messages.Fault):
+        return True
+    return isinstance(reply, messages.ForwardReply) and reply.call_id == call_id
+
+
+def _refuse_unsent(
+    kind: enumerations.ErrorKind, detail: str, lent: int
+) -> exceptions.RefusedError:
+    """Return the refusal of a call that no node took, with all its retries."""
+    refusal = exceptions.RefusedError(kind, detail)
+    refusal.retries_left = lent
+    return refusal
--- a/cyclamenwell/node/executor.py
+++ b/cyclamenwell/node/executor.py
@@ -136,6 +136,10 @@
                 f"instance {self._instance.name} serves "
                 f"{self._instance.service}, not {call.service}",
             )
+        if self.state is _State.STARTING:
+            raise exceptions.RefusedError(
+                _Kind.STALE_VIEW, f"instance {self._instance.name} is starting"
+            )
         if self.state is not _State.SERVING:
             raise exceptions.RefusedError(
                 _Kind.LEAVING, f"instance {self._instance.name} is not serving"
@@ -214,6 +218,10 @@
         try:
             # The key may have been withdrawn while the call waited.
             self._check_key(call)
+            if cancellation.cancelled:
+                raise exceptions.RefusedError(
+                    _Kind.CANCELLED, "the caller went away"
+                )
             reply = self._run(call, allowance, cancellation)
             result = gates.Result.ANSWERED
             if reply.answer.status >= 500:
@@ -252,11 +260,15 @@
         finally:
             self._registry.close(token)
         service = self._store.snapshot.services.get(call.service)
-        if service is not None and answer.status == service.shed_status:
+        # A target that has made a further call has begun to run the request:
+        # its status is then an answer, often the passed-on failure below it.
+        if (
+            service is not None
+            and not context.failure.called
+            and (answer.status == service.shed_status)
+        ):
             raise exceptions.RefusedError(
-                _Kind.TARGET_SHED,
-                "the target shed the request",
-                retried=context.failure.retried,
+                _Kind.TARGET_SHED, "the target shed the request"
             )
         return calls.Reply(answer, allowance.held)
 
--- a/cyclamenwell/node/front.py
+++ b/cyclamenwell/node/front.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import functools
-import json
-import math
 import secrets
 import socket
 
-from cyclamenwell import answers
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import snapshot as snapshots
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.generated import documents
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import messages
 from cyclamenwell.idempotency import keys as idempotency_keys
 from cyclamenwell.keys import authenticator
 from cyclamenwell.keys import contexts
@@ -23,56 +20,20 @@
 from cyclamenwell.node import cancellation as cancellations
 from cyclamenwell.node import dispatcher as dispatchers
 from cyclamenwell.node import headers
+from cyclamenwell.node import problems
 from cyclamenwell.retries import allowance as allowances
 from cyclamenwell.routing import table
 from cyclamenwell.telemetry import logs
 from cyclamenwell.telemetry import metrics
 
-__all__ = ["Front", "build_problem"]
+__all__ = ["Front"]
 
 _log = logs.PartLog("calls")
 _Kind = enumerations.ErrorKind
 _CALL_ID_BYTES = 16
 _MAX_DEPTH = 32
-_OUTCOME_NAMES = {
-    enumerations.Outcome.NOT_RUN: "not-run",
-    enumerations.Outcome.UNKNOWN: "unknown",
-}
-
-
-def build_problem(refusal: exceptions.RefusedError) -> calls.HttpAnswer:
-    """Return the answer for a refusal as RFC 9457 problem details.
-
-    Parameters
-    ----------
-    refusal : exceptions.RefusedError
-        The refusal.
-
-    Returns
-    -------
-    calls.HttpAnswer
-        Status, headers and JSON body.
-    """
-    answer = answers.ANSWERS[refusal.kind]
-    outcome = _OUTCOME_NAMES[answer.outcome]
-    name = refusal.kind.name.lower().replace("_", "-")
-    body = {
-        "type": f"urn:cyclamenwell:{name}",
-        "title": answer.title,
-        "status": answer.status,
-        "detail": refusal.detail,
-        "outcome": outcome,
-    }
-    added = [
-        messages.Header("content-type", "application/problem+json"),
-        messages.Header(headers.OUTCOME, outcome),
-    ]
-    if refusal.retry_after:
-        seconds = max(math.ceil(refusal.retry_after.seconds), 1)
-        added.append(messages.Header("retry-after", str(seconds)))
-    return calls.HttpAnswer(
-        answer.status, tuple(added), json.dumps(body).encode()
-    )
+_STARTING_RETRY = clock.Milliseconds(1000)
+_MAX_DIGITS = 12
 
 
 class Front:
@@ -90,6 +51,8 @@
         Runs the calls.
     watcher : cancellations.DisconnectWatcher
         Watches the callers' connections.
+    is_starting : callable
+        Returns whether documents and instance list are not there yet.
     """
 
     def __init__(
@@ -99,12 +62,14 @@
         registry: contexts.ContextRegistry,
         dispatcher: dispatchers.Dispatcher,
         watcher: cancellations.DisconnectWatcher,
+        is_starting: Callable[[], bool],
     ) -> None:
         self._time = time
         self._store = store
         self._registry = registry
         self._dispatcher = dispatcher
         self._watcher = watcher
+        self._is_starting = is_starting
 
     def answer_caller(
         self, request: calls.HttpRequest, connection: socket.socket
@@ -136,11 +101,11 @@
                 return run(cancellation)
         except exceptions.RefusedError as refusal:
             kind = refusal.kind.name
-            return build_problem(refusal)
+            return problems.build_problem(refusal)
         except Exception:
             _log.fail("a call to %s failed unexpectedly", service)
             kind = _Kind.INTERNAL.name
-            return build_problem(
+            return problems.build_problem(
                 exceptions.RefusedError(_Kind.INTERNAL, "internal error")
             )
         finally:
@@ -151,6 +116,11 @@
         request: calls.HttpRequest,
         cancellation: cancellations.Cancellation,
     ) -> calls.HttpAnswer:
+        if self._is_starting():
+            # Without documents every service would look unknown.
+            raise exceptions.RefusedError(
+                _Kind.STALE_VIEW, "the node is starting", _STARTING_RETRY
+            )
         snapshot = self._store.snapshot
         service = _find_service(snapshot, request)
         route = table.match_route(service, request.method, request.path)
@@ -213,13 +183,15 @@
         cancellation: cancellations.Cancellation,
     ) -> calls.HttpAnswer:
         """Run a further call on retries that its parent lends."""
+        context.failure.called = True
         lent = context.allowance.lend()
         allowance = allowances.RetryAllowance(lent)
         try:
             return self._dispatcher.run(call, allowance, cancellation)
-        except exceptions.RefusedError as refusal:
-            if refusal.retried:
-                context.failure.retried = True
+        except exceptions.RefusedError:
+            # This node is the hop right above the failure: it has retried as
+            # far as it may, and no hop further up does.
+            context.failure.retried = True
             raise
         finally:
             context.allowance.settle(lent, allowance.held)
@@ -230,11 +202,13 @@
         timeout = route.timeout
         given = request.find_header(headers.TIMEOUT_MS)
         if given:
-            if not given.isascii() or not given.isdigit() or int(given) < 1:
+            is_number = given.isascii() and given.isdigit()
+            if not is_number or len(given) > _MAX_DIGITS or int(given) < 1:
                 raise exceptions.RefusedError(
                     _Kind.BAD_REQUEST,
-                    f"{headers.TIMEOUT_MS}: got {given!r}, must be a whole "
-                    "number of milliseconds from 1",
+                    f"{headers.TIMEOUT_MS}: got {given[:80]!r}, must be a "
+                    "whole number of milliseconds with up to "
+                    f"{_MAX_DIGITS} digits",
                 )
             timeout = min(timeout, clock.Milliseconds(int(given)))
         return self._time.now() + timeout
--- a/cyclamenwell/node/handlers.py
+++ b/cyclamenwell/node/handlers.py
@@ -62,12 +62,14 @@
     connection: socket.socket,
 ) -> messages.ForwardReply:
     """Run a forwarded call at the own target."""
+    call = None
     try:
+        call = _read_call(message, node)
         with node.watcher.watch(connection) as cancellation:
-            reply = node.executor.execute(
-                _read_call(message, node), message.retries, cancellation
-            )
+            reply = node.executor.execute(call, message.retries, cancellation)
     except exceptions.RefusedError as refusal:
+        if call is None:
+            refusal.retries_left = message.retries
         return messages.ForwardReply(
             call_id=message.call_id,
             refusal=refusal.kind,
@@ -92,8 +94,9 @@
 ) -> calls.Call:
     service = node.store.snapshot.services.get(message.service)
     if service is None:
+        # The sender has the document, so this node is behind.
         raise exceptions.RefusedError(
-            _Kind.NO_SUCH_SERVICE,
+            _Kind.STALE_VIEW,
             f"service {message.service} has no document here",
         )
     return calls.Call(
--- a/cyclamenwell/node/headers.py
+++ b/cyclamenwell/node/headers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from collections.abc import Mapping
 
 from cyclamenwell.generated import messages
 
@@ -73,7 +72,9 @@
     )
 
 
-def keep_end_to_end(headers: Mapping[str, str]) -> tuple[messages.Header, ...]:
+def keep_end_to_end(
+    headers: Iterable[messages.Header],
+) -> tuple[messages.Header, ...]:
     """Return the headers of a target's answer that belong to the caller.
 
     Notes
@@ -81,11 +82,14 @@
     Headers of the project are removed, so that only a node can state the
     outcome of a request.
     """
-    named = _list_named(headers.get("connection", ""))
+    kept = tuple(headers)
+    named = frozenset().union(
+        *(_list_named(h.value) for h in kept if h.name == "connection")
+    )
     return tuple(
-        messages.Header(name.lower(), value)
-        for name, value in headers.items()
-        if name.lower() not in _HOP_BY_HOP
-        and name.lower() not in named
-        and not name.lower().startswith(_PREFIX)
+        header
+        for header in kept
+        if header.name not in _HOP_BY_HOP
+        and header.name not in named
+        and not header.name.startswith(_PREFIX)
     )
--- /dev/null
+++ b/cyclamenwell/node/problems.py
@@ -0,0 +1,65 @@
+"""Refusals as RFC 9457 problem details."""
+
+from __future__ import annotations
+
+import json
+import math
+
+from cyclamenwell import answers
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
+from cyclamenwell.node import calls
+from cyclamenwell.node import headers
+
+__all__ = ["build_problem", "name_kind"]
+
+_OUTCOME_NAMES = {
+    enumerations.Outcome.NOT_RUN: "not-run",
+    enumerations.Outcome.UNKNOWN: "unknown",
+}
+_PASSING_STATUSES = frozenset({429, 503})  # These pass with time.
+_DEFAULT_RETRY = clock.Milliseconds(1000)
+
+
+def name_kind(kind: enumerations.ErrorKind) -> str:
+    """Return the problem type of an error kind."""
+    return "urn:cyclamenwell:" + kind.name.lower().replace("_", "-")
+
+
+def build_problem(refusal: exceptions.RefusedError) -> calls.HttpAnswer:
+    """Return the answer for a refusal.
+
+    Parameters
+    ----------
+    refusal : exceptions.RefusedError
+        The refusal.
+
+    Returns
+    -------
+    calls.HttpAnswer
+        Status, headers and JSON body.
+    """
+    answer = answers.ANSWERS[refusal.kind]
+    outcome = _OUTCOME_NAMES[answer.outcome]
+    body = {
+        "type": name_kind(refusal.kind),
+        "title": answer.title,
+        "status": answer.status,
+        "detail": refusal.detail,
+        "outcome": outcome,
+    }
+    added = [
+        messages.Header("content-type", "application/problem+json"),
+        messages.Header(headers.OUTCOME, outcome),
+    ]
+    retry_after = refusal.retry_after
+    if not retry_after and answer.status in _PASSING_STATUSES:
+        retry_after = _DEFAULT_RETRY
+    if retry_after:
+        seconds = max(math.ceil(retry_after.seconds), 1)
+        added.append(messages.Header("retry-after", str(seconds)))
+    return calls.HttpAnswer(
+        answer.status, tuple(added), json.dumps(body).encode()
+    )
--- a/cyclamenwell/node/process.py
+++ b/cyclamenwell/node/process.py
@@ -4,6 +4,7 @@
 
 import random
 import secrets
+import threading
 
 from cyclamenwell import clock
 from cyclamenwell.admission import gate as gates
@@ -30,6 +31,9 @@
 from cyclamenwell.platform import client as platform_clients
 from cyclamenwell.retries import budget as budgets
 from cyclamenwell.routing import chooser as choosers
+from cyclamenwell.routing import overload
+from cyclamenwell.routing import standings as standing
+from cyclamenwell.routing import tiers as distances
 from cyclamenwell.telemetry import logs
 
 __all__ = ["Node"]
@@ -55,6 +59,8 @@
         self, loaded: settings.NodeSettings, time: clock.Clock
     ) -> None:
         self._settings = loaded
+        self._lifecycle = threading.Lock()
+        self._stopping = threading.Event()
         self._registry = contexts.ContextRegistry()
         self._target = targets.TargetClient(loaded.target, time)
         self._client = peer_clients.PeerClient(loaded.peers.connect_timeout)
@@ -69,14 +75,21 @@
 
     def start(self) -> None:
         """Start to serve; calls are refused until configuration is there."""
-        self.parts.watcher.start()
-        self._peer_server.start()
-        self._operations_server.start()
-        self._target_side_server.start()
-        self._caller_server.start()
-        self._reader.start()
+        with self._lifecycle:
+            if self._stopping.is_set():
+                return
+            self.parts.watcher.start()
+            self._peer_server.start()
+            self._operations_server.start()
+            self._target_side_server.start()
+            self._caller_server.start()
+            self._reader.start()
         self._reader.wait_until_current()
-        self.parts.executor.state = _State.SERVING
+        with self._lifecycle:
+            # A stop that came meanwhile has set the last state.
+            if self._stopping.is_set():
+                return
+            self.parts.executor.state = _State.SERVING
         _log.info(
             "serving %s as %s",
             self._settings.instance.service,
@@ -84,21 +97,33 @@
         )
 
     def stop(self) -> bool:
-        """Finish running requests and stop.
+        """Announce the stop, finish running requests and stop.
 
         Returns
         -------
         bool
             Whether every request was finished in time.
+
+        Notes
+        -----
+        Replies and refusals report the state LEAVING from the first moment.
+        Requests that enter here are passed to other instances until the
+        listener closes. The servers for peers and for the own target close
+        last, because running requests need them.
         """
+        with self._lifecycle:
+            if self._stopping.is_set():
+                return True
+            self._stopping.set()
+            was_serving = self.parts.executor.state is _State.SERVING
+            self.parts.executor.state = _State.LEAVING
         _log.info("leaving")
-        self.parts.executor.state = _State.LEAVING
         self._caller_server.end_keep_alive()
-        max_drain = self._settings.stop.max_drain
-        finished = self._caller_server.drain(max_drain)
+        if was_serving:
+            # A wait of fixed length; nothing ends it early.
+            threading.Event().wait(self._settings.stop.linger.seconds)
+        finished = self._finish_running()
         self._reader.stop()
-        self._peer_server.close()
-        finished = self._target_side_server.drain(max_drain) and finished
         self._operations_server.drain(clock.ZERO)
         self._client.close()
         self._target.close()
@@ -106,6 +131,19 @@
         _log.info("stopped")
         return finished
 
+    def _finish_running(self) -> bool:
+        """Close the servers from the outside in, each when it is idle."""
+        end = self.parts.time.now() + self._settings.stop.max_drain
+        finished = True
+        for server in (
+            self._caller_server,
+            self._peer_server,
+            self._target_side_server,
+        ):
+            left = max(end - self.parts.time.now(), clock.ZERO)
+            finished = server.drain(left) and finished
+        return finished
+
     def _build_parts(self, time: clock.Clock) -> parts.Parts:
         random_bits = secrets.randbits(_INCARNATION_RANDOM_BITS)
         trail = audit.AuditTrail()
@@ -144,21 +182,46 @@
 
     def _build_dispatcher(self) -> dispatchers.Dispatcher:
         node = self.parts
+        source = random.Random(node.identity.incarnation)
+        standings = standing.Standings(node.time)
         return dispatchers.Dispatcher(
             identity=node.identity,
             time=node.time,
             store=node.store,
             directory=node.directory,
-            chooser=choosers.Chooser(
-                node.directory,
-                self._settings.instance.data_centre,
-                random.Random(node.identity.incarnation),
-            ),
+            chooser=self._build_chooser(standings, source),
+            standings=standings,
+            guard=overload.OverloadGuard(node.time, source),
             executor=node.executor,
             client=self._client,
             budget=budgets.RetryBudget(),
         )
 
+    def _build_chooser(
+        self, standings: standing.Standings, source: random.Random
+    ) -> choosers.Chooser:
+        node = self.parts
+        instance = self._settings.instance
+        tiers = distances.Tiers(
+            node.directory,
+            node.time,
+            instance.name,
+            instance.data_centre,
+            instance.region,
+        )
+        node.store.add_listener(
+            lambda snapshot, _: tiers.note_out(snapshot.data_centres_out)
+        )
+        return choosers.Chooser(
+            directory=node.directory,
+            tiers=tiers,
+            standings=standings,
+            time=node.time,
+            source=source,
+            instance=instance.name,
+            read_own_load=node.report_load,
+        )
+
     def _build_servers(self) -> None:
         node = self.parts
         instance = self._settings.instance
@@ -168,6 +231,7 @@
             self._registry,
             self._build_dispatcher(),
             node.watcher,
+            lambda: node.executor.state is _State.STARTING,
         )
         self._caller_server = webserver.WebServer(
             instance.host, instance.caller_port, front.answer_caller
--- /dev/null
+++ b/cyclamenwell/node/tests/test_webserver.py
@@ -0,0 +1,198 @@
+"""Callers that break the protocol, or use its rarer parts."""
+
+import json
+import socket
+
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell.generated import messages
+from cyclamenwell.node import calls
+from cyclamenwell.node import webserver
+
+HOST = b"host: billing\r\n"
+
+
+@pytest.fixture
+def handled():
+    return []
+
+
+@pytest.fixture
+def server(handled):
+    def answer(request, connection):
+        del connection
+        handled.append(request)
+        status = 204 if request.path == "/empty" else 200
+        if request.path == "/reset":
+            status = 205
+        name = messages.Header("x-path", request.path)
+        return calls.HttpAnswer(status, (name,), request.body)
+
+    made = webserver.WebServer("127.0.0.1", 0, answer)
+    made.start()
+    yield made
+    made.drain(clock.Milliseconds(5000))
+
+
+def talk(server, data, *, half_close=False):
+    """Send bytes and return all that comes until the server closes."""
+    address = ("127.0.0.1", server.port)
+    with socket.create_connection(address, 20) as connection:
+        connection.sendall(data)
+        if half_close:
+            connection.shutdown(socket.SHUT_WR)
+        received = bytearray()
+        while part := connection.recv(65536):
+            received += part
+        return bytes(received)
+
+
+def read_refusal(received):
+    head, _, body = received.partition(b"\r\n\r\n")
+    lines = head.lower().split(b"\r\n")
+    assert b"content-type: application/problem+json" in lines
+    assert b"cyclamenwell-outcome: not-run" in lines
+    assert b"connection: close" in lines
+    return json.loads(body)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 9\r\n\r\nshort",
+        b"POST / HTTP/1.1\r\n"
+        + HOST
+        + b"transfer-encoding: chunked\r\n\r\n5\r\nab",
+        b"POST / HTTP/1.1\r\n"
+        + HOST
+        + b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n0",
+    ],
+)
+def test_partial_body_is_refused_as_not_run(server, handled, data):
+    """Guards against running a request of which a part is missing."""
+    refusal = read_refusal(talk(server, data, half_close=True))
+    assert refusal["type"] == "urn:cyclamenwell:bad-request"
+    assert not handled
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"content-length: 2\r\ncontent-length: 3\r\n",
+        b"content-length: -2\r\n",
+        b"content-length: +2\r\n",
+        b"content-length: 2\r\ntransfer-encoding: chunked\r\n",
+        b"transfer-encoding: gzip\r\n",
+        b"transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+        b"content-length : 2\r\n",
+        b"x: 1\r\n folded\r\n",
+        b"x: a\rb\r\n",
+        b"no colon\r\n",
+        b"host: other\r\n",
+    ],
+)
+def test_ambiguous_head_is_refused(server, handled, lines):
+    """Guards against a request that two readers frame differently."""
+    read_refusal(talk(server, b"POST / HTTP/1.1\r\n" + HOST + lines + b"\r\n"))
+    assert not handled
+
+
+def test_pipelined_requests_are_answered_in_order(server, handled):
+    """Guards against losing or mixing requests that are sent ahead."""
+    first = b"POST /1 HTTP/1.1\r\n" + HOST + b"content-length: 2\r\n\r\nab"
+    second = (
+        b"POST /2 HTTP/1.1\r\n"
+        + HOST
+        + b"transfer-encoding: chunked\r\n\r\n2\r\ncd\r\n0\r\nt: 1\r\n\r\n"
+    )
+    last = b"GET /3 HTTP/1.1\r\n" + HOST + b"connection: Close\r\n\r\n"
+    received = talk(server, first + second + last)
+    assert [r.path for r in handled] == ["/1", "/2", "/3"]
+    assert [r.body for r in handled] == [b"ab", b"cd", b""]
+    places = [received.index(b"x-path: /%d" % n) for n in (1, 2, 3)]
+    assert places == sorted(places)
+
+
+def test_http_1_0_is_answered_and_closed(server):
+    """Guards against a caller that waits for the end of the connection."""
+    received = talk(server, b"GET /old HTTP/1.0\r\n" + HOST + b"\r\n")
+    assert b"x-path: /old" in received
+    assert b"connection: close" in received
+
+
+@pytest.mark.parametrize(
+    ("start_line", "length"),
+    [
+        (b"HEAD / HTTP/1.1", None),
+        (b"GET /empty HTTP/1.1", None),
+        (b"GET /reset HTTP/1.1", b"content-length: 0"),
+    ],
+)
+def test_answer_without_body_keeps_the_framing(server, start_line, length):
+    """Guards against a caller waiting for a body that never comes."""
+    request = start_line + b"\r\n" + HOST + b"\r\n"
+    last = b"GET /last HTTP/1.1\r\n" + HOST + b"connection: close\r\n\r\n"
+    first, _, rest = talk(server, request + last).partition(b"\r\n\r\n")
+    assert rest.startswith(b"HTTP/1.1 200")
+    assert (length in first) if length else (b"content-length" not in first)
+
+
+def test_expected_continue_is_sent_before_the_body(server, handled):
+    """Guards against a caller that waits to be asked for its body."""
+    address = ("127.0.0.1", server.port)
+    with socket.create_connection(address, 20) as connection:
+        connection.sendall(
+            b"POST /c HTTP/1.1\r\n" + HOST + b"expect: 100-Continue\r\n"
+            b"content-length: 2\r\n\r\n"
+        )
+        assert connection.recv(100).startswith(b"HTTP/1.1 100 ")
+        connection.sendall(b"ab")
+        assert b"x-path: /c" in connection.recv(65536)
+    assert handled[0].body == b"ab"
+
+
+def test_oversize_body_is_refused_unread(server, handled):
+    """Guards against unbounded memory, and against a reset of the refusal."""
+    size = webserver.MAX_BODY_BYTES + 1
+    head = b"POST / HTTP/1.1\r\n" + HOST + b"content-length: %d\r\n\r\n" % size
+    refusal = read_refusal(talk(server, head + b"x" * 500_000))
+    assert refusal["status"] == 413
+    chunk = b"%x\r\n" % size
+    head = b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: chunked\r\n\r\n"
+    assert read_refusal(talk(server, head + chunk))["status"] == 413
+    assert not handled
+
+
+def test_oversize_head_is_refused(server, handled):
+    """Guards against unbounded memory for one head."""
+    head = b"GET / HTTP/1.1\r\n" + HOST + b"x: " + b"y" * 70_000 + b"\r\n\r\n"
+    assert read_refusal(talk(server, head))["status"] == 400
+    head = b"GET /" + b"y" * 70_000 + b" HTTP/1.1\r\n" + HOST + b"\r\n"
+    assert read_refusal(talk(server, head))["status"] == 400
+    assert not handled
+
+
+def test_repeated_headers_reach_the_handler(server, handled):
+    """Guards against dropping all but the last of equal headers."""
+    talk(
+        server,
+        b"GET / HTTP/1.1\r\n"
+        + HOST
+        + b"x: 1\r\nX: 2\r\nconnection: close\r\n\r\n",
+    )
+    assert [h.value for h in handled[0].headers if h.name == "x"] == ["1", "2"]
+
+
+def test_request_that_arrived_before_the_stop_is_answered(server):
+    """Guards against closing a connection whose request is already there."""
+    address = ("127.0.0.1", server.port)
+    request = b"GET /late HTTP/1.1\r\n" + HOST + b"\r\n"
+    with socket.create_connection(address, 20) as connection:
+        connection.sendall(request)
+        assert b"x-path: /late" in connection.recv(65536)
+        connection.sendall(request)
+        assert server.drain(clock.Milliseconds(10_000))
+        received = connection.recv(65536)
+    assert b"x-path: /late" in received
+    assert b"connection: close" in received
--- a/cyclamenwell/peers/client.py
+++ b/cyclamenwell/peers/client.py
@@ -4,17 +4,21 @@
 
 import collections
 from collections.abc import Callable
+import contextlib
 import dataclasses
+import functools
 import socket
 import threading
+import time
 from typing import Any
+from typing import Protocol
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.generated import messages
 from cyclamenwell.peers import wire
 
-__all__ = ["Address", "PeerClient"]
+__all__ = ["Address", "Interrupt", "PeerClient"]
 
 _IDLE_PER_PEER = 64  # Connections kept open to one peer.
 _MIN_TIMEOUT = clock.Milliseconds(1)
@@ -44,6 +48,18 @@
         return f"{self.host}:{self.port}"
 
 
+class Interrupt(Protocol):
+    """Ends an exchange early, as the cancellation of a call does."""
+
+    cancelled: bool
+
+    def add_callback(self, callback: Callable[[], None]) -> None:
+        """Run a function on the interrupt, at once if it has happened."""
+
+    def remove_callback(self, callback: Callable[[], None]) -> None:
+        """Forget a function, if it has not been run."""
+
+
 class PeerClient:
     """Calls other nodes; one call at a time on each connection.
 
@@ -64,7 +80,8 @@
         address: Address,
         message: Any,
         timeout: clock.Milliseconds,
-        on_connected: Callable[[socket.socket], None] | None = None,
+        interrupt: Interrupt | None = None,
+        belongs: Callable[[Any], bool] | None = None,
     ) -> Any:
         """Send a message and wait for its reply.
 
@@ -75,10 +92,12 @@
         message : object
             Instance of a class in `messages`.
         timeout : clock.Milliseconds
-            Time for sending and for each part of the reply.
-        on_connected : callable or None
-            Gets the connection before anything is sent, so that a cancelled
-            call can shut it down.
+            Time for the whole exchange.
+        interrupt : Interrupt or None
+            Shuts the connection down when it happens.
+        belongs : callable or None
+            Tells whether a message is the reply to this one; on any other the
+            connection is out of step and closed.
 
         Returns
         -------
@@ -92,18 +111,17 @@
             received the message.
         """
         frame = wire.encode(message)
+        end = time.monotonic() + max(timeout, _MIN_TIMEOUT).seconds
         connection = self._take(address)
         if connection is None:
-            connection = self._open(address)
+            connection = self._open(address, max(timeout, _MIN_TIMEOUT))
+        shut_down = functools.partial(_shut_down, connection)
+        if interrupt is not None:
+            interrupt.add_callback(shut_down)
         try:
-            if on_connected is not None:
-                on_connected(connection)
-            connection.settimeout(max(timeout, _MIN_TIMEOUT).seconds)
-            wire.send_frame(connection, frame)
-            received = wire.receive_frame(connection)
-            if received is None:
-                raise exceptions.ProtocolError("connection closed")
-            reply = wire.decode(received)
+            reply = _converse(connection, frame, end)
+            if belongs is not None and not belongs(reply):
+                raise exceptions.ProtocolError("the reply is to another call")
         except (OSError, exceptions.ProtocolError) as error:
             # The exchange is unfinished: a late reply must not be taken for
             # the reply to the next message.
@@ -111,6 +129,13 @@
             raise exceptions.PeerUnavailableError(
                 f"no reply from {address}: {error}", sent=True, refused=False
             ) from error
+        finally:
+            if interrupt is not None:
+                interrupt.remove_callback(shut_down)
+        if interrupt is not None and interrupt.cancelled:
+            # The callback may still be about to shut the connection down.
+            connection.close()
+            return reply
         self._give_back(address, connection)
         return reply
 
@@ -142,10 +167,13 @@
                 return connection
             connection.close()
 
-    def _open(self, address: Address) -> socket.socket:
+    def _open(
+        self, address: Address, timeout: clock.Milliseconds
+    ) -> socket.socket:
+        timeout = min(timeout, self._connect_timeout)
         try:
             connection = socket.create_connection(
-                (address.host, address.port), self._connect_timeout.seconds
+                (address.host, address.port), timeout.seconds
             )
         except OSError as error:
             refused = isinstance(error, ConnectionRefusedError)
@@ -177,3 +205,18 @@
     except OSError:
         return False
     return False
+
+
+def _converse(connection: socket.socket, frame: bytes, end: float) -> Any:
+    """Send a frame and return the decoded reply, all before a time."""
+    connection.settimeout(max(end - time.monotonic(), _MIN_TIMEOUT.seconds))
+    wire.send_frame(connection, frame)
+    received = wire.receive_frame(connection, end)
+    if received is None:
+        raise exceptions.ProtocolError("connection closed")
+    return wire.decode(received)
+
+
+def _shut_down(connection: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
--- a/cyclamenwell/peers/server.py
+++ b/cyclamenwell/peers/server.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import select
 import socket
 import threading
 from typing import Any
 
+from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell import listeners
 from cyclamenwell.peers import wire
 from cyclamenwell.telemetry import logs
 
@@ -35,7 +38,10 @@
     def __init__(self, host: str, port: int, handler: Handler) -> None:
         self._handler = handler
         self._lock = threading.Lock()
+        self._ended = threading.Condition(self._lock)
         self._connections: set[socket.socket] = set()
+        # Closing the write end wakes all threads that wait for a message.
+        self._stop_read, self._stop_write = socket.socketpair()
         self._listener = socket.create_server(
             (host, port), backlog=_BACKLOG, reuse_port=False
         )
@@ -52,15 +58,37 @@
         """Begin to accept connections."""
         self._thread.start()
 
-    def close(self) -> None:
-        """Close the listener and all connections."""
+    def drain(self, max_wait: clock.Milliseconds) -> bool:
+        """Stop accepting, reply to what was received, close connections.
+
+        Parameters
+        ----------
+        max_wait : clock.Milliseconds
+            Longest time to wait for running messages.
+
+        Returns
+        -------
+        bool
+            Whether every received message got its reply.
+        """
+        if max_wait:
+            listeners.stop_new_connections(self._listener)
         # shutdown() wakes the thread that waits in accept(); close() does not.
         _shut_down(self._listener)
         self._listener.close()
-        with self._lock:
+        self._stop_write.close()
+        with self._ended:
+            finished = self._ended.wait_for(
+                lambda: not self._connections, max_wait.seconds
+            )
             connections = tuple(self._connections)
         for connection in connections:
             _shut_down(connection)
+        return finished
+
+    def close(self) -> None:
+        """Close the listener and all connections at once."""
+        self.drain(clock.ZERO)
 
     def _accept(self) -> None:
         while True:
@@ -88,12 +116,17 @@
         except Exception:
             _log.fail("handling a message failed")
         finally:
-            with self._lock:
-                self._connections.discard(connection)
             connection.close()
+            with self._ended:
+                self._connections.discard(connection)
+                self._ended.notify_all()
 
     def _converse(self, connection: socket.socket) -> None:
-        while True:
+        poller = select.poll()
+        poller.register(connection, select.POLLIN)
+        poller.register(self._stop_read, select.POLLIN)
+        number = connection.fileno()
+        while number in (ready for ready, _ in poller.poll()):
             frame = wire.receive_frame(connection)
             if frame is None:
                 return
--- a/cyclamenwell/peers/wire.py
+++ b/cyclamenwell/peers/wire.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+import time
 from typing import Any
 
 from thrift import Thrift
@@ -87,9 +88,19 @@
     connection.sendall(_LENGTH.pack(len(frame)) + frame)
 
 
-def receive_frame(connection: socket.socket) -> bytes | None:
+def receive_frame(
+    connection: socket.socket, end: float | None = None
+) -> bytes | None:
     """Receive one frame.
 
+    Parameters
+    ----------
+    connection : socket.socket
+        Connection to read from.
+    end : float or None
+        Time of `time.monotonic` by which the frame must be whole, so that a
+        peer that sends byte by byte can not hold the caller.
+
     Returns
     -------
     bytes or None
@@ -102,7 +113,7 @@
     OSError
         If the connection fails or times out.
     """
-    head = _receive_exactly(connection, _LENGTH.size)
+    head = _receive_exactly(connection, _LENGTH.size, end)
     if head is None:
         return None
     (length,) = _LENGTH.unpack(head)
@@ -110,23 +121,34 @@
         raise exceptions.ProtocolError(
             f"frame of {length} bytes, at most {MAX_FRAME_BYTES} are allowed"
         )
-    frame = _receive_exactly(connection, length)
+    frame = _receive_exactly(connection, length, end)
     if frame is None and length:
         raise exceptions.ProtocolError("connection closed inside a frame")
     return frame or b""
 
 
-def _receive_exactly(connection: socket.socket, count: int) -> bytes | None:
+def _receive_exactly(
+    connection: socket.socket, count: int, end: float | None
+) -> bytes | None:
     """Return the bytes asked for, or None if there were none at all."""
-    first = connection.recv(count)
+    first = _receive(connection, count, end)
     if len(first) == count:
         return first
     if not first:
         return None
     buffer = bytearray(first)
     while len(buffer) < count:
-        part = connection.recv(count - len(buffer))
+        part = _receive(connection, count - len(buffer), end)
         if not part:
             raise exceptions.ProtocolError("connection closed inside a frame")
         buffer += part
     return bytes(buffer)
+
+
+def _receive(connection: socket.socket, count: int, end: float | None) -> bytes:
+    if end is not None:
+        remaining = end - time.monotonic()
+        if remaining <= 0:
+            raise TimeoutError("timed out")
+        connection.settimeout(remaining)
+    return connection.recv(count)
--- a/cyclamenwell/testing/fleet.py
+++ b/cyclamenwell/testing/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import threading
 import time
 from typing import Any
 
@@ -20,6 +21,7 @@
 _LOOPBACK = "127.0.0.1"
 _PATIENCE_SECONDS = 20.0
 _POLL_SECONDS = 0.01
+_SHORT_STOP = "stop:\n  linger: 0\n"
 
 
 def wait_until(condition: Any, what: str) -> None:
@@ -76,9 +78,15 @@
         service: str,
         data_centre: str = "dc-a",
         extra: str = "",
+        target_port: int = 0,
         **plan: Any,
     ) -> Member:
-        """Add an instance; call `start` after the last one."""
+        """Add an instance; call `start` after the last one.
+
+        A `target_port` replaces the stand-in by a target of the test.
+        """
+        if "stop:" not in extra:
+            extra += _SHORT_STOP
         caller, peer, target_side, operations = builders.find_free_ports(4)
         entry = builders.build_instance(
             instance=instance,
@@ -96,7 +104,7 @@
         loaded = builders.build_settings(
             entry,
             self.platform.port,
-            target.port,
+            target_port or target.port,
             (target_side, operations),
             extra,
         )
@@ -126,9 +134,15 @@
             member.node.start()
 
     def stop(self) -> None:
-        """Stop all nodes."""
-        for member in self.members.values():
-            member.node.stop()
+        """Stop all nodes at the same time."""
+        threads = [
+            threading.Thread(target=member.node.stop)
+            for member in self.members.values()
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
 
     def call(
         self,
--- /dev/null
+++ b/cyclamenwell/tests/test_stop.py
@@ -0,0 +1,234 @@
+"""Start and planned stop of nodes while callers go on."""
+
+import itertools
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+
+import pytest
+import urllib3
+
+from cyclamenwell.generated import enumerations
+from cyclamenwell.testing import builders as shared
+from cyclamenwell.testing import fleet as fleets
+from cyclamenwell.tests import builders
+
+State = enumerations.InstanceState
+PATIENCE_SECONDS = 20
+LINGER = "stop:\n  linger: 400\n  max_drain: 15000\n"
+CALLERS = 8
+
+
+class Callers:
+    """Callers that send requests in a loop, each over kept connections."""
+
+    def __init__(self, fleet, instances, service):
+        self._ports = [
+            fleet.members[name].entry.caller_port for name in instances
+        ]
+        self._service = service
+        self._ended = threading.Event()
+        self.failures = []
+        self.answered = threading.Semaphore(0)
+        self._threads = [
+            threading.Thread(target=self._loop) for _ in range(CALLERS)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._ended.set()
+        for thread in self._threads:
+            thread.join()
+
+    def wait_for_answers(self, count):
+        for _ in range(count):
+            assert self.answered.acquire(timeout=PATIENCE_SECONDS)
+
+    def _loop(self):
+        http = urllib3.PoolManager(retries=False)
+        ports = itertools.cycle(self._ports)
+        port = next(ports)
+        while not self._ended.is_set():
+            try:
+                response = self._send(http, port)
+            except urllib3.exceptions.NewConnectionError:
+                port = next(ports)  # No process listens: nothing was sent.
+                continue
+            except urllib3.exceptions.HTTPError as error:
+                self.failures.append(repr(error))
+                continue
+            if response.status != 200:
+                self.failures.append((response.status, response.data))
+            self.answered.release()
+
+    def _send(self, http, port):
+        return http.request(
+            "GET",
+            f"http://127.0.0.1:{port}/accounts/7",
+            headers={
+                "Host": self._service,
+                "Authorization": f"Bearer {builders.KEY}",
+            },
+            timeout=PATIENCE_SECONDS,
+        )
+
+
+def test_no_request_is_lost_while_a_node_stops():
+    """Guards against a stop that refuses or cuts requests.
+
+    Callers use the stopping node and another one, directly and through a
+    service that calls the stopping one.
+    """
+    fleet = builders.build_fleet("meters", "billing")
+    for number in (1, 2, 3):
+        fleet.add(f"billing-{number}", "billing", extra=LINGER, service_ms=2)
+    fleet.add(
+        "meters-1",
+        "meters",
+        further_service="billing",
+        further_path="/accounts/7",
+    )
+    fleet.start()
+    direct = Callers(fleet, ["billing-1", "billing-2"], "billing")
+    chained = Callers(fleet, ["meters-1"], "meters")
+    with direct, chained:
+        direct.wait_for_answers(100)
+        chained.wait_for_answers(50)
+        assert fleet.members["billing-1"].node.stop()
+        stopped_at = len(fleet.members["billing-1"].target.requests)
+        direct.wait_for_answers(200)
+        chained.wait_for_answers(100)
+    assert direct.failures == []
+    assert chained.failures == []
+    assert len(fleet.members["billing-1"].target.requests) == stopped_at
+    fleet.stop()
+
+
+def test_running_request_is_finished_and_its_further_call_served():
+    """Guards against closing what a running request still needs."""
+    keeper = builders.Gatekeeper()
+    fleet = builders.build_fleet("meters", "billing")
+    fleet.add(
+        "meters-1",
+        "meters",
+        extra=LINGER,
+        further_service="billing",
+        further_path="/accounts/7",
+        service_ms=300,
+    )
+    fleet.add("billing-1", "billing", target_port=builders.serve(keeper).port)
+    fleet.start()
+    answers = []
+    caller = threading.Thread(
+        target=lambda: answers.append(
+            fleet.call("billing-1", "meters", "/accounts/7", builders.KEY)
+        )
+    )
+    caller.start()
+    fleets.wait_until(
+        lambda: fleet.members["meters-1"].target.requests, "the request runs"
+    )
+    finished = []
+    stopper = threading.Thread(
+        target=lambda: finished.append(fleet.members["meters-1"].node.stop())
+    )
+    stopper.start()
+    assert keeper.arrived.acquire(timeout=PATIENCE_SECONDS)
+    keeper.release.set()
+    caller.join(PATIENCE_SECONDS)
+    stopper.join(PATIENCE_SECONDS)
+    # The stand-in can not read the plain answer of the further call.
+    assert answers[0].status in (200, 500), answers[0].data
+    assert answers[0].headers.get("cyclamenwell-outcome") is None
+    assert finished == [True]
+    fleet.stop()
+
+
+def test_leaving_node_announces_and_passes_requests_on():
+    """Guards against refusing callers before the listener closes."""
+    fleet = builders.build_fleet("billing")
+    for number in (1, 2):
+        fleet.add(f"billing-{number}", "billing", extra=LINGER)
+    fleet.start()
+    node = fleet.members["billing-1"].node
+    stopper = threading.Thread(target=node.stop)
+    stopper.start()
+    fleets.wait_until(
+        lambda: node.parts.executor.state is State.LEAVING, "it leaves"
+    )
+    response = fleet.call("billing-1", "billing", "/accounts/7", builders.KEY)
+    assert response.status == 200
+    assert json.loads(response.data)["target"] == "billing-2"
+    assert response.headers["connection"] == "close"
+    stopper.join(PATIENCE_SECONDS)
+    fleet.stop()
+
+
+def test_starting_node_refuses_with_a_kind_that_passes():
+    """Guards against telling callers that no such service exists."""
+    fleet = builders.build_fleet("billing")
+    fleet.add("billing-1", "billing")
+    fleet.publish_list()
+    fleet.platform.set_mode("down")
+    node = fleet.members["billing-1"].node
+    starter = threading.Thread(target=node.start, daemon=True)
+    starter.start()
+    response = fleet.call("billing-1", "billing", "/accounts/7", builders.KEY)
+    assert response.status == 503
+    assert json.loads(response.data)["type"] == "urn:cyclamenwell:stale-view"
+    assert response.headers["cyclamenwell-outcome"] == "not-run"
+    assert response.headers["retry-after"] == "1"
+    assert node.stop()
+    assert node.parts.executor.state is State.LEAVING
+
+
+def write_settings(folder: pathlib.Path, platform_port: int) -> pathlib.Path:
+    ports = shared.find_free_ports(5)
+    path = folder / "settings.yaml"
+    path.write_text(
+        f"instance:\n  name: billing-1\n  service: billing\n"
+        f"  data_centre: dc-a\n  region: r-1\n  host: 127.0.0.1\n"
+        f"  caller_port: {ports[0]}\n  peer_port: {ports[1]}\n"
+        f"  target_side_port: {ports[2]}\n  operations_port: {ports[3]}\n"
+        f"target:\n  port: {ports[4]}\n"
+        f"platform:\n  url: http://127.0.0.1:{platform_port}\n"
+        "stop:\n  linger: 100\n"
+    )
+    return path
+
+
+@pytest.mark.parametrize("mode", ["up", "down"])
+def test_sigterm_ends_the_program_with_status_0(tmp_path, mode):
+    """Guards against a stop that hangs, also before configuration is there."""
+    fleet = builders.build_fleet("billing")
+    fleet.platform.set_mode(mode)
+    path = write_settings(tmp_path, fleet.platform.port)
+    child = subprocess.Popen(
+        [sys.executable, "-m", "cyclamenwell.node", str(path)],
+        stderr=subprocess.PIPE,
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+    expected = b"serving" if mode == "up" else b"watching"
+    with child:
+        for line in child.stderr:
+            if expected in line:
+                break
+        child.send_signal(signal.SIGTERM)
+        assert child.wait(PATIENCE_SECONDS) == 0
+
+
+def test_stop_before_start_leaves_nothing_open():
+    """Guards against a signal that comes before the servers run."""
+    fleet = builders.build_fleet("billing")
+    member = fleet.add("billing-1", "billing")
+    assert member.node.stop()
+    member.node.start()
+    assert member.node.parts.executor.state is State.LEAVING
