Adapt the gate's limit to the target and order its queue

Cause: the gate admitted a fixed 200 requests, refused the rest without a queue, and ignored what the answers showed of the target.

Change: a limit by a gradient of response times with slow start from the document's cold limit, a queue by importance and deficit round robin over organisations, bounded waits, and bounds that follow the service document.

--- a/cyclamenwell/node/executor.py
+++ b/cyclamenwell/node/executor.py
@@ -8,6 +8,7 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.admission import gate as gates
+from cyclamenwell.admission import tickets
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.generated import documents
 from cyclamenwell.generated import enumerations
@@ -28,10 +29,12 @@
 _State = enumerations.InstanceState
 
 _RESULTS = {
-    _Kind.TARGET_SHED: gates.Result.SHED,
-    _Kind.TARGET_UNREACHABLE: gates.Result.UNREACHABLE,
-    _Kind.TIMED_OUT: gates.Result.TIMED_OUT,
-    _Kind.CANCELLED: gates.Result.CANCELLED,
+    _Kind.TARGET_SHED: tickets.Result.SHED,
+    _Kind.TARGET_UNREACHABLE: tickets.Result.UNREACHABLE,
+    _Kind.TIMED_OUT: tickets.Result.TIMED_OUT,
+    _Kind.CANCELLED: tickets.Result.CANCELLED,
+    _Kind.INCOMPLETE_ANSWER: tickets.Result.BROKEN,
+    _Kind.ANSWER_TOO_LARGE: tickets.Result.FAILED,
 }
 
 
@@ -203,28 +206,33 @@
         cancellation: cancellations.Cancellation,
     ) -> calls.Reply:
         admission = self._gate.enter(
-            gates.Ticket(
+            tickets.Ticket(
                 organisation=call.organisation,
                 weight=caller.rate_per_second if caller else 0.0,
                 importance=call.importance,
                 deadline=call.deadline,
-            )
+            ),
+            cancellation,
         )
-        result = gates.Result.NOT_SENT
+        result = tickets.Result.NOT_SENT
+        sent_at = admission.admitted_at
         try:
             # The key may have been withdrawn while the call waited.
             self._check_key(call)
+            sent_at = self._time.now()
             reply = self._run(call, allowance, cancellation)
-            result = gates.Result.ANSWERED
+            result = tickets.Result.ANSWERED
             if reply.answer.status >= 500:
-                result = gates.Result.FAILED
+                result = tickets.Result.FAILED
             return reply
         except exceptions.RefusedError as refusal:
-            result = _RESULTS.get(refusal.kind, gates.Result.FAILED)
+            # Other kinds are refusals by this node and show nothing of the
+            # target.
+            result = _RESULTS.get(refusal.kind, tickets.Result.NOT_SENT)
             raise
         finally:
-            duration = self._time.now() - admission.admitted_at
-            self._gate.leave(admission, gates.Observation(result, duration))
+            duration = self._time.now() - sent_at
+            self._gate.leave(admission, tickets.Observation(result, duration))
 
     def _run(
         self,
--- a/cyclamenwell/node/process.py
+++ b/cyclamenwell/node/process.py
@@ -4,13 +4,16 @@
 
 import random
 import secrets
+import threading
 
 from cyclamenwell import clock
 from cyclamenwell.admission import gate as gates
 from cyclamenwell.configuration import audit
 from cyclamenwell.configuration import reader as readers
+from cyclamenwell.configuration import snapshot as snapshots
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
 from cyclamenwell.generated import settings
 from cyclamenwell.keys import contexts
 from cyclamenwell.limits import limiter as limiters
@@ -131,17 +134,45 @@
         store: stores.Store,
         directory: directories.Directory,
     ) -> executors.Executor:
+        gate = gates.Gate(time, self._settings.admission)
+        store.add_listener(self._build_gate_listener(gate, store))
         return executors.Executor(
             instance=self._settings.instance,
             time=time,
             store=store,
             directory=directory,
-            gate=gates.Gate(time, 200),
+            gate=gate,
             limiter=limiters.FleetLimiter(time),
             registry=self._registry,
             target=self._target,
         )
 
+    def _build_gate_listener(
+        self, gate: gates.Gate, store: stores.Store
+    ) -> stores.Listener:
+        """Return a listener that hands the service's bounds to the gate."""
+        service = self._settings.instance.service
+        document = f"service/{service}"
+
+        lock = threading.Lock()
+
+        def configure(
+            snapshot: snapshots.Snapshot,
+            accepted: tuple[messages.VersionEntry, ...],
+        ) -> None:
+            del snapshot
+            if all(entry.name != document for entry in accepted):
+                return
+            # Listeners of two changes may run in any order; the store always
+            # has the newest version.
+            with lock:
+                content = store.snapshot.services.get(service)
+                if content is None:
+                    return
+                gate.configure(content.cold_limit, content.max_in_progress)
+
+        return configure
+
     def _build_dispatcher(self) -> dispatchers.Dispatcher:
         node = self.parts
         return dispatchers.Dispatcher(
--- /dev/null
+++ b/cyclamenwell/node/tests/test_gate_bounds.py
@@ -0,0 +1,24 @@
+"""Tests of the bounds that the gate takes from the service document."""
+
+from cyclamenwell.testing import builders
+from cyclamenwell.testing import fleet as fleets
+
+
+def test_gate_takes_the_cold_limit_of_a_new_document():
+    """Guards against bounds that stay at their defaults in a node."""
+    fleet = fleets.Fleet()
+    fleet.platform.publish("service/billing", builders.build_service_text())
+    member = fleet.add("billing-1", "billing")
+    fleet.start()
+    try:
+        parts = member.node.parts
+        assert parts.report_load().limit == 4
+        fleet.platform.publish(
+            "service/billing",
+            builders.build_service_text(extra="cold_limit: 9\n"),
+        )
+        fleets.wait_until(
+            lambda: parts.report_load().limit == 9, "the new limit is taken"
+        )
+    finally:
+        fleet.stop()
