--- a/cyclamenwell/answers.py
+++ b/cyclamenwell/answers.py
@@ -57,6 +57,7 @@
     _Kind.WRONG_INSTANCE: Answer(503, "Instance replaced", _NOT_RUN, True),
     _Kind.DEADLINE_PASSED: Answer(504, "Deadline passed", _NOT_RUN, False),
     _Kind.CANCELLED: Answer(499, "Caller went away", _UNKNOWN, False),
+    _Kind.ABANDONED: Answer(499, "Caller did not wait", _NOT_RUN, False),
     _Kind.TARGET_UNREACHABLE: Answer(503, "Target down", _NOT_RUN, True),
     _Kind.TARGET_SHED: Answer(503, "Shed by target", _NOT_RUN, True),
     _Kind.PEER_UNREACHABLE: Answer(503, "Instance down", _NOT_RUN, True),
--- a/cyclamenwell/testing/builders.py
+++ b/cyclamenwell/testing/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from typing import Any
 
@@ -23,16 +24,31 @@
 ]
 
 
+# Below the ports that systems give to outgoing connections, which could take a
+# port between its choice and its use.
+_FIRST_PORT, _LAST_PORT = 12_000, 30_000
+_ports_given: set[int] = set()
+
+
 def find_free_ports(count: int) -> list[int]:
-    """Return ports on loopback that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return ports on loopback that are free now and were not given before."""
+    source = random.SystemRandom()
+    found: list[int] = []
+    while len(found) < count:
+        port = source.randint(_FIRST_PORT, _LAST_PORT)
+        if port not in _ports_given and _is_free(port):
+            _ports_given.add(port)
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def build_service_text(
