Add target model, load tool, measurement of added time and demo

Cause: nothing measured the path of a call or showed a fleet at work. Change: the target stand-in models slots, cold starts, shedding, slow and refusing targets and records every request that ran. cyclamenwell-load measures the time that nodes add to a call and runs experiments. cyclamenwell-demo starts 8 targets with their nodes in two data centres and shows live changes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format generate check-generated
+.PHONY: test lint format generate check-generated demo bench experiments
+
+RESULTS ?= build/experiments
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -26,3 +28,15 @@
 
 check-generated: $(STAMP)
 	$(BIN)/python -m cyclamenwell.schema.generator --check
+
+demo: $(STAMP)
+	$(BIN)/python -m cyclamenwell.demo
+
+bench: $(STAMP)
+	$(BIN)/python -m cyclamenwell.load bench
+
+# Takes about a quarter of an hour; one file: EXPERIMENTS=experiments/x.yaml
+EXPERIMENTS ?= $(sort $(wildcard experiments/*.yaml))
+experiments: $(STAMP)
+	$(BIN)/python -m cyclamenwell.load experiment --output $(RESULTS) \
+		$(EXPERIMENTS)
--- /dev/null
+++ b/cyclamenwell/demo/__init__.py
@@ -0,0 +1,3 @@
+"""Demonstration of a small fleet with real requests and live changes."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/load/deployment.py
@@ -0,0 +1,301 @@
+"""Starting platform, targets and nodes as processes on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import json
+import time
+from typing import Any
+
+import urllib3
+import yaml
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.keys import authenticator
+from cyclamenwell.load import ports
+from cyclamenwell.load import processes
+
+__all__ = ["Deployment", "DeploymentError", "Member", "build_key"]
+
+_REGION = "r-1"
+_START_TIMEOUT = clock.Milliseconds(60_000)
+_POLL = clock.Milliseconds(50)
+_HTTP_TIMEOUT = clock.Milliseconds(10_000)
+_MAX_DRAIN = clock.Milliseconds(2_000)
+
+
+class DeploymentError(exceptions.CyclamenwellError):
+    """A process did not start or a control failed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An instance: a target and the process beside it.
+
+    Parameters
+    ----------
+    instance, service, data_centre : str
+        Names.
+    caller_port, peer_port, target_side_port, operations_port : int
+        Ports of the node.
+    target_port, control_port : int
+        Ports of the target.
+    """
+
+    instance: str
+    service: str
+    data_centre: str
+    caller_port: int
+    peer_port: int
+    target_side_port: int
+    operations_port: int
+    target_port: int
+    control_port: int
+
+
+def build_key(organisation: str) -> str:
+    """Return the key of an organisation in a deployment."""
+    return f"cw_{organisation}_key"
+
+
+class Deployment:
+    """Processes of one run.
+
+    Parameters
+    ----------
+    group : processes.ProcessGroup
+        Group that ends the processes.
+    """
+
+    def __init__(self, group: processes.ProcessGroup) -> None:
+        self._group = group
+        self._http = urllib3.PoolManager(retries=False, maxsize=4)
+        self._platform_port = 0
+        self._documents = 0
+        self.members: list[Member] = []
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in and wait until it answers."""
+        (self._platform_port,) = ports.find_ports(1)
+        self._group.start(
+            "platform",
+            "cyclamenwell.standin",
+            "platform",
+            "--port",
+            str(self._platform_port),
+        )
+        self._wait_for(
+            "platform",
+            lambda: self._is_up(self._platform_port, "/v1/instances"),
+        )
+
+    def choose_members(self, places: Iterable[tuple[str, str, str]]) -> None:
+        """Choose the ports of all instances.
+
+        Parameters
+        ----------
+        places : iterable of tuple of str
+            Instance, service and data centre of each.
+        """
+        chosen = list(places)
+        free = ports.find_ports(6 * len(chosen))
+        self.members = [
+            Member(*place, *free[6 * index : 6 * index + 6])
+            for index, place in enumerate(chosen)
+        ]
+
+    def start_target(self, member: Member, plan: Mapping[str, Any]) -> None:
+        """Start the target of an instance."""
+        named = {
+            "name": member.instance,
+            "service": member.service,
+            "node_port": member.target_side_port,
+            **plan,
+        }
+        self._group.start(
+            f"target-{member.instance}",
+            "cyclamenwell.standin",
+            "target",
+            "--port",
+            str(member.target_port),
+            "--control-port",
+            str(member.control_port),
+            "--plan",
+            json.dumps(named),
+        )
+
+    def start_node(self, member: Member) -> None:
+        """Start the node of an instance."""
+        settings = {
+            "instance": {
+                "name": member.instance,
+                "service": member.service,
+                "data_centre": member.data_centre,
+                "region": _REGION,
+                "host": ports.LOOPBACK,
+                "caller_port": member.caller_port,
+                "peer_port": member.peer_port,
+                "target_side_port": member.target_side_port,
+                "operations_port": member.operations_port,
+            },
+            "target": {"port": member.target_port},
+            "platform": {
+                "url": f"http://{ports.LOOPBACK}:{self._platform_port}",
+                "start_delay": 0,
+            },
+            "stop": {"linger": 0, "max_drain": _MAX_DRAIN.value},
+        }
+        path = self._group.directory / f"{member.instance}.yaml"
+        path.write_text(yaml.safe_dump(settings), "utf-8")
+        self._group.start(
+            f"node-{member.instance}", "cyclamenwell.node", str(path)
+        )
+
+    def start_forwarder(self, member: Member, keys: Mapping[str, str]) -> None:
+        """Start the baseline's forwarder beside a target.
+
+        Parameters
+        ----------
+        member : Member
+            The instance.
+        keys : mapping of str to str
+            Organisation of each key.
+        """
+        targets: dict[str, list[int]] = {}
+        for one in self.members:
+            targets.setdefault(one.service, []).append(one.target_port)
+        path = self._group.directory / f"{member.instance}.json"
+        plan = {
+            "caller_port": member.caller_port,
+            "target_side_port": member.target_side_port,
+            "keys": dict(keys),
+            "targets": targets,
+        }
+        path.write_text(json.dumps(plan), "utf-8")
+        self._group.start(
+            f"forwarder-{member.instance}",
+            "cyclamenwell.load.forwarder",
+            str(path),
+        )
+
+    def publish(self, name: str, document: Mapping[str, Any]) -> None:
+        """Publish a document at the platform."""
+        path = f"/control/documents/{name}"
+        self._put(self._platform_port, path, yaml.safe_dump(dict(document)))
+
+    def publish_organisation(self, organisation: str, *keys: str) -> None:
+        """Publish the keys in force of an organisation."""
+        listed = [
+            {"digest": authenticator.compute_digest(key).hex()} for key in keys
+        ]
+        self.publish(
+            f"organisation/{organisation}",
+            {"organisation": organisation, "keys": listed},
+        )
+
+    def publish_fleet(self, *data_centres_out: str) -> None:
+        """Publish which data centres are taken out."""
+        self.publish("fleet", {"data_centres_out": list(data_centres_out)})
+
+    def publish_list(self) -> None:
+        """Publish the instance list."""
+        entries = [
+            {
+                "instance": member.instance,
+                "service": member.service,
+                "data_centre": member.data_centre,
+                "region": _REGION,
+                "host": ports.LOOPBACK,
+                "caller_port": member.caller_port,
+                "peer_port": member.peer_port,
+                "state": "serving",
+            }
+            for member in self.members
+        ]
+        self._put(
+            self._platform_port, "/control/instances", json.dumps(entries)
+        )
+
+    def wait_for_targets(self) -> None:
+        """Wait until every target answers."""
+        for member in self.members:
+            self._wait_for(
+                f"target-{member.instance}",
+                lambda port=member.target_port: self._is_up(port, "/health"),
+            )
+
+    def wait_for_nodes(self, documents: int) -> None:
+        """Wait until every node serves with all documents and instances."""
+        for member in self.members:
+            self._wait_for(
+                f"node-{member.instance}",
+                lambda one=member: self._is_serving(one, documents),
+            )
+
+    def wait_for_forwarders(self) -> None:
+        """Wait until every forwarder answers."""
+        for member in self.members:
+            self._wait_for(
+                f"forwarder-{member.instance}",
+                lambda port=member.caller_port: self._is_up(port, "/health"),
+            )
+
+    def control_target(self, member: Member, what: str, body: str) -> None:
+        """Use a control of a target."""
+        self._put(member.control_port, f"/control/{what}", body)
+
+    def read_records(self) -> list[dict[str, Any]]:
+        """Return the records of all targets."""
+        records = []
+        for member in self.members:
+            response = self._request(
+                "GET", member.control_port, "/control/records"
+            )
+            records += json.loads(response.data)
+        return records
+
+    def _is_serving(self, member: Member, documents: int) -> bool:
+        response = self._request("GET", member.operations_port, "/status")
+        status = json.loads(response.data)
+        return (
+            status["state"] == "serving"
+            and status["instances"] == len(self.members)
+            and len(status["documents"]) == documents
+        )
+
+    def _is_up(self, port: int, path: str) -> bool:
+        return self._request("GET", port, path).status in (200, 503)
+
+    def _wait_for(self, name: str, condition: Any) -> None:
+        end = time.monotonic() + _START_TIMEOUT.seconds
+        while True:
+            try:
+                if condition():
+                    return
+            except urllib3.exceptions.HTTPError:
+                pass  # Not listening yet.
+            ended = name in self._group.find_ended()
+            if ended or time.monotonic() > end:
+                what = "ended" if ended else "did not become ready"
+                raise DeploymentError(
+                    f"{name} {what}: {self._group.read_log(name)[-2000:]}"
+                )
+            time.sleep(_POLL.seconds)
+
+    def _put(self, port: int, path: str, body: str) -> None:
+        response = self._request("PUT", port, path, body)
+        if response.status != 200:
+            raise DeploymentError(f"PUT {path}: {response.data!r}")
+
+    def _request(
+        self, method: str, port: int, path: str, body: str | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        return self._http.request(
+            method,
+            f"http://{ports.LOOPBACK}:{port}{path}",
+            body=body,
+            timeout=_HTTP_TIMEOUT.seconds,
+        )
--- a/cyclamenwell/schema/generator.py
+++ b/cyclamenwell/schema/generator.py
@@ -20,7 +20,13 @@
 _SCHEMA = pathlib.Path(__file__).parent
 _PACKAGE = _SCHEMA.parent
 _ROOT = _PACKAGE.parent
-_SOURCES = ("enumerations", "messages", "documents", "settings")
+_SOURCES = (
+    "enumerations",
+    "messages",
+    "documents",
+    "settings",
+    "experiments",
+)
 
 _THRIFT_TYPES = {
     "bool": "BOOL",
@@ -279,7 +285,7 @@
             structs=tuple(_build_structs(sources["messages"], names)),
         ),
     }
-    for name in ("messages", "documents", "settings"):
+    for name in _SOURCES[1:]:
         structs = tuple(_build_structs(sources[name], names))
         files[generated / f"{name}.py"] = environment.get_template(
             "structs.py.jinja"
--- a/cyclamenwell/standin/main.py
+++ b/cyclamenwell/standin/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import threading
 from typing import Annotated
@@ -19,6 +20,8 @@
     add_completion=False,
 )
 _LOOPBACK = "127.0.0.1"
+_EXIT_BAD_INPUT = 2
+_STACK_BYTES = 256 * 1024  # A thread for each connection.
 
 
 @app.command("platform")
@@ -33,25 +36,24 @@
 @app.command("target")
 def serve_target(
     port: Annotated[int, typer.Option(help="Port on loopback.")],
-    name: Annotated[str, typer.Option(help="Name in answers.")] = "target",
-    service_ms: Annotated[
-        float, typer.Option(help="Time of a request, milliseconds.")
-    ] = 0.0,
-    further_service: Annotated[
-        str, typer.Option(help="Service to call for each request.")
-    ] = "",
-    further_path: Annotated[
-        str, typer.Option(help="Path of the further call.")
-    ] = "/",
-    node_port: Annotated[
-        int, typer.Option(help="Target-side port of the node beside it.")
+    control_port: Annotated[
+        int, typer.Option(help="Port of the controls on loopback, 0 for any.")
     ] = 0,
+    plan: Annotated[
+        str,
+        typer.Option(help="Fields of the plan as a JSON object."),
+    ] = '{"name": "target"}',
 ) -> None:
     """Serve requests as a target does."""
-    plan = targets.TargetPlan(
-        name, service_ms, further_service, further_path, node_port
-    )
-    targets.TargetStandin(_LOOPBACK, port, plan).start()
+    try:
+        fields = json.loads(plan)
+        fields["further_services"] = tuple(fields.get("further_services", ()))
+        read = targets.TargetPlan(**fields)
+    except (AttributeError, TypeError, ValueError) as error:
+        typer.echo(f"--plan: {error}", err=True)
+        raise typer.Exit(_EXIT_BAD_INPUT) from error
+    threading.stack_size(_STACK_BYTES)
+    targets.TargetStandin(_LOOPBACK, port, read, control_port).start()
     _wait_for_signal()
 
 
