--- a/cyclamenwell/load/experiment.py
+++ b/cyclamenwell/load/experiment.py
@@ -215,6 +215,8 @@
         "max_queued": service.max_queued,
         "cold_slots": service.cold_slots,
         "warm_requests": service.warm_requests,
+        # An experiment begins in ordinary service; a fault turns targets cold.
+        "starts_cold": False,
         "seed": experiment.seed + index,
     }
 
--- a/cyclamenwell/load/figures.py
+++ b/cyclamenwell/load/figures.py
@@ -267,6 +267,10 @@
         "whole_share": _compute_whole_share(run.samples, span),
         "latency_p50_ms": _find_quantile(latencies, 0.5),
         "latency_p99_ms": _find_quantile(latencies, 0.99),
+        # Far below the timeouts as long as the clients keep up with the load.
+        "send_delay_p99_ms": _find_quantile(
+            sorted(one.attempts[0][0] - one.arrival for one in arrived), 0.99
+        ),
         "worst_organisation_share": _compute_worst(run, arrived, seconds),
         "important_lost": float(_count_important_lost(run, arrived)),
     }
@@ -305,25 +309,42 @@
 
     Notes
     -----
-    A loss counts if a less important request that arrived in the same second
-    was answered. Requests beyond the rate of their organisation do not count.
+    A loss counts if a less important request that needs one of the same
+    services and arrived in the same second was answered. Requests beyond the
+    rate of their organisation do not count.
     """
-    importance = {c.name: c.importance for c in run.experiment.classes}
-    top = min(importance.values())
-    if top == max(importance.values()):
-        return 0
+    top, rivals = _split_classes(run.experiment)
     lost: collections.Counter[int] = collections.Counter()
     served = set()
     for one in arrived:
         window = int(one.arrival // _WINDOW.value)
-        if importance[one.request_class] != top:
-            if one.outcome == generator.WHOLE:
-                served.add(window)
-        elif one.outcome != generator.WHOLE:
+        if one.request_class in rivals and one.outcome == generator.WHOLE:
+            served.add(window)
+        if one.request_class in top and one.outcome != generator.WHOLE:
             lost[window] += one.attempts[-1][1] != _RATE_LIMITED
     return sum(count for window, count in lost.items() if window in served)
 
 
+def _split_classes(
+    experiment: experiments.Experiment,
+) -> tuple[frozenset[str], frozenset[str]]:
+    """Return the most important classes and those that compete with them."""
+    first = min(one.importance for one in experiment.classes)
+    top = [one for one in experiment.classes if one.importance == first]
+    needed = {
+        name
+        for one in top
+        for name in plans.list_calls(experiment, one.service)
+    }
+    rivals = [
+        one.name
+        for one in experiment.classes
+        if one.importance != first
+        and needed.intersection(plans.list_calls(experiment, one.service))
+    ]
+    return frozenset(one.name for one in top), frozenset(rivals)
+
+
 def _compute_whole(run: Run, starts: Mapping[str, float]) -> dict[str, float]:
     ran = [one for one in run.records if one["result"] != "shed"]
     values = {
--- a/cyclamenwell/load/generator.py
+++ b/cyclamenwell/load/generator.py
@@ -168,7 +168,6 @@
         if not request_class.idempotent:
             key = idempotency_keys.make_key(self._time)
         attempts: list[tuple[float, str]] = []
-        since = arrival.at
         while True:
             sent = self._read_time()
             kind = self._attempt(arrival, request_class, key, len(attempts))
@@ -177,8 +176,7 @@
             patient = end - arrival.at < _STORM_PATIENCE.value
             if not kind or not arrival.storm or not patient:
                 break
-            since = end
-        late = end - since > request_class.timeout.value
+        late = end - arrival.at > request_class.timeout.value
         outcome = FAILED if kind else LATE if late else WHOLE
         return Sample(
             arrival.number,
--- a/cyclamenwell/load/plans.py
+++ b/cyclamenwell/load/plans.py
@@ -12,6 +12,7 @@
 __all__ = [
     "compute_capacity",
     "find_phase",
+    "list_calls",
     "load_experiment",
     "read_experiment",
     "compute_starts",
@@ -76,7 +77,7 @@
     demand = dict.fromkeys(holds, 0.0)
     total = sum(one.share for one in experiment.classes)
     for one in experiment.classes:
-        for name in _list_calls(experiment, one.service):
+        for name in list_calls(experiment, one.service):
             demand[name] += one.share / total
     rates = []
     for service in experiment.services:
@@ -117,10 +118,11 @@
     )
 
 
-def _list_calls(experiment: experiments.Experiment, name: str) -> Iterator[str]:
+def list_calls(experiment: experiments.Experiment, name: str) -> Iterator[str]:
+    """List the services that a request to a service reaches, with itself."""
     yield name
     for further in _find_service(experiment, name).further:
-        yield from _list_calls(experiment, further)
+        yield from list_calls(experiment, further)
 
 
 def _find_problems(experiment: experiments.Experiment) -> list[str]:
--- a/cyclamenwell/load/processes.py
+++ b/cyclamenwell/load/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import contextlib
 import os
 import pathlib
@@ -9,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from types import FrameType
 from typing import Any
@@ -39,6 +41,21 @@
     raise SystemExit(128 + number)
 
 
+@contextlib.contextmanager
+def _ignore_signals() -> Iterator[None]:
+    """Ignore signals; only the main thread of a process may do this."""
+    if threading.current_thread() is not threading.main_thread():
+        yield
+        return
+    numbers = (signal.SIGINT, signal.SIGTERM)
+    former = [signal.signal(number, signal.SIG_IGN) for number in numbers]
+    try:
+        yield
+    finally:
+        for number, handler in zip(numbers, former, strict=True):
+            signal.signal(number, handler)
+
+
 class ProcessGroup(contextlib.AbstractContextManager):
     """Python programs of this project; leaving the context ends them all.
 
@@ -54,10 +71,12 @@
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def __exit__(self, *details: Any) -> None:
-        try:
-            self.stop_all()
-        finally:
-            self._directory.cleanup()
+        # A second signal must not cut the ending of the processes short.
+        with _ignore_signals():
+            try:
+                self.stop_all()
+            finally:
+                self._directory.cleanup()
 
     def start(self, name: str, module: str, *arguments: str) -> None:
         """Start ``python -m module arguments``.
--- a/cyclamenwell/standin/target.py
+++ b/cyclamenwell/standin/target.py
@@ -67,6 +67,8 @@
         target that is never cold.
     warm_requests : int
         Complete requests after which a cold target is warm.
+    starts_cold : bool
+        Whether the target is cold when it starts.
     slow_factor : float
         Factor on the service time.
     sheds : bool
@@ -90,6 +92,7 @@
     max_queued: int = 0
     cold_slots: int = 0
     warm_requests: int = 100
+    starts_cold: bool = True
     slow_factor: float = 1.0
     sheds: bool = False
     health_lies: bool = False
@@ -151,7 +154,7 @@
         self.plan = plan
         self.in_progress = 0
         self.queued = 0
-        self._warmth = 0
+        self._warmth = 0 if plan.starts_cold else plan.warm_requests
 
     def change(self, **values: Any) -> None:
         with self._condition:
