Name the service that refused a further call, show kinds of failures

Change: the kind of a failure names the refusing service, and the reference has one bucket for each service. Failures are listed by kind, side and phase.

--- a/cyclamenwell/load/client.py
+++ b/cyclamenwell/load/client.py
@@ -46,13 +46,23 @@
 
     @property
     def kind(self) -> str:
-        """Kind of a refusal, or ``status-<number>`` of another answer."""
-        marker = b"urn:cyclamenwell:"
+        """Kind of a refusal, or ``status-<number>`` of another answer.
+
+        Notes
+        -----
+        A refusal of a further call has `` at <service>`` after its kind, since
+        the targets name in their answers the service that failed.
+        """
         # The innermost cause comes last in the body of a failed chain.
-        _, found, rest = self.body.rpartition(marker)
+        above, found, rest = self.body.decode("utf-8", "replace").rpartition(
+            "urn:cyclamenwell:"
+        )
         if not found:
             return f"status-{self.status}"
-        return rest.partition(b'"')[0].decode("ascii", "replace")
+        kind = rest.partition('"')[0]
+        _, _, failed = above.rpartition('"error": "')
+        service, marked, _ = failed.partition(' failed"')
+        return f"{kind} at {service}" if marked else kind
 
 
 class ClientConnection:
--- a/cyclamenwell/load/figures.py
+++ b/cyclamenwell/load/figures.py
@@ -16,12 +16,14 @@
 from cyclamenwell.load import plans
 
 __all__ = [
+    "Attempt",
     "Figure",
     "Run",
     "compute_entitlements",
     "compute_figures",
     "compute_recovery",
     "compute_window_excess",
+    "count_failures",
     "count_refusals_within_rate",
 ]
 
@@ -80,6 +82,25 @@
     data_centres: Mapping[str, str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """A request that a client sent.
+
+    Parameters
+    ----------
+    at : float
+        Time of sending in milliseconds.
+    chain : tuple of str
+        Services that it needs, in the order of the calls.
+    kind : str
+        Kind of failure, empty for a whole answer.
+    """
+
+    at: float
+    chain: tuple[str, ...]
+    kind: str
+
+
 def compute_figures(run: Run) -> tuple[Figure, ...]:
     """Return all figures of a run."""
     found = []
@@ -94,6 +115,21 @@
     return tuple(found)
 
 
+def count_failures(run: Run) -> dict[str, collections.Counter[str]]:
+    """Return how often each kind of last failure occurred in each phase."""
+    counts = {}
+    starts = plans.compute_starts(run.experiment)
+    for phase in run.experiment.phases:
+        start = starts[phase.name]
+        arrived = _select(run.samples, (start, start + phase.duration.value))
+        counts[phase.name] = collections.Counter(
+            one.attempts[-1][1] or "late"
+            for one in arrived
+            if one.outcome != generator.WHOLE
+        )
+    return counts
+
+
 def compute_recovery(
     samples: Sequence[generator.Sample],
     before: tuple[float, float],
@@ -164,36 +200,47 @@
 
 
 def count_refusals_within_rate(
-    attempts: Iterable[tuple[float, str]], rate_per_second: float, burst: float
+    attempts: Iterable[Attempt], rate_per_second: float, burst: float
 ) -> int:
     """Return how many requests were refused although a token was due.
 
     Parameters
     ----------
-    attempts : iterable of tuple of float and str
-        Time and kind of failure of each request of an organisation.
+    attempts : iterable of Attempt
+        Requests of one organisation.
     rate_per_second, burst : float
-        What the organisation may send.
+        What the organisation may send to each service.
 
     Notes
     -----
-    The reference is one token bucket for the whole fleet, from which every
-    request that was not refused for its rate takes a token.
+    The reference has one token bucket for each service over the whole fleet.
+    A request takes a token of every service of its chain, up to the one that
+    refused it for its rate.
     """
-    tokens = burst
-    last = None
+    buckets: dict[str, tuple[float, float]] = {}
     refused = 0
-    for at, kind in sorted(attempts):
-        if last is not None:
-            tokens = min(burst, tokens + rate_per_second * (at - last) / 1000)
-        last = at
-        if kind != _RATE_LIMITED:
-            tokens = max(tokens - 1, 0)
-        elif tokens >= 1:
-            refused += 1
+    for one in sorted(attempts, key=lambda attempt: attempt.at):
+        refuser = _find_refuser(one)
+        for service in one.chain:
+            tokens, last = buckets.get(service, (burst, one.at))
+            gained = rate_per_second * (one.at - last) / 1000
+            tokens = min(burst, tokens + gained)
+            if service == refuser:
+                buckets[service] = tokens, one.at
+                refused += tokens >= 1
+                break
+            buckets[service] = max(tokens - 1, 0), one.at
     return refused
 
 
+def _find_refuser(attempt: Attempt) -> str:
+    """Return the service that refused for the rate, empty for none."""
+    kind, _, service = attempt.kind.partition(" at ")
+    if kind != _RATE_LIMITED:
+        return ""
+    return service or attempt.chain[0]
+
+
 def compute_entitlements(
     demands: Mapping[str, float],
     weights: Mapping[str, float],
@@ -321,7 +368,8 @@
         if one.request_class in rivals and one.outcome == generator.WHOLE:
             served.add(window)
         if one.request_class in top and one.outcome != generator.WHOLE:
-            lost[window] += one.attempts[-1][1] != _RATE_LIMITED
+            kind = one.attempts[-1][1]
+            lost[window] += not kind.startswith(_RATE_LIMITED)
     return sum(count for window, count in lost.items() if window in served)
 
 
@@ -403,19 +451,21 @@
 
 
 def _count_within_rate(run: Run) -> int:
-    services = {one.name: one.service for one in run.experiment.classes}
+    chains = {
+        one.name: tuple(plans.list_calls(run.experiment, one.service))
+        for one in run.experiment.classes
+    }
     attempts = collections.defaultdict(list)
     for one in run.samples:
-        pair = services[one.request_class], one.organisation
-        attempts[pair] += one.attempts
-    plans_by_name = {one.name: one for one in run.experiment.organisations}
+        chain = chains[one.request_class]
+        attempts[one.organisation] += [
+            Attempt(at, chain, kind) for at, kind in one.attempts
+        ]
     return sum(
         count_refusals_within_rate(
-            found,
-            plans_by_name[organisation].rate_per_second,
-            plans_by_name[organisation].burst,
+            attempts[one.name], one.rate_per_second, one.burst
         )
-        for (_, organisation), found in attempts.items()
+        for one in run.experiment.organisations
     )
 
 
--- a/cyclamenwell/load/main.py
+++ b/cyclamenwell/load/main.py
@@ -113,24 +113,25 @@
         f"{experiment.name}: seed {experiment.seed}, capacity "
         f"{plans.compute_capacity(experiment):.1f} root requests/s"
     )
-    sides = {
-        runs.SYSTEM: figures.compute_figures(runs.run_once(path, runs.SYSTEM))
-    }
-    if with_baseline:
-        sides[runs.BASELINE] = figures.compute_figures(
-            runs.run_once(path, runs.BASELINE)
-        )
+    names = (runs.SYSTEM, runs.BASELINE) if with_baseline else (runs.SYSTEM,)
+    sides = {}
+    failures = {}
+    for side in names:
+        made = runs.run_once(path, side)
+        sides[side] = figures.compute_figures(made)
+        failures[side] = figures.count_failures(made)
     system = sides[runs.SYSTEM]
     verdicts = report.judge(experiment.bounds, system)
     typer.echo(
         report.build_table(system, sides.get(runs.BASELINE, ()), verdicts)
     )
+    typer.echo(report.build_failures(failures))
     missed = sum(not one.met for one in verdicts)
     typer.echo(f"{experiment.name}: {missed} of {len(verdicts)} bounds missed")
     if output is not None:
         output.mkdir(parents=True, exist_ok=True)
         text = json.dumps(
-            report.build_json(experiment, sides, verdicts), indent=1
+            report.build_json(experiment, sides, failures, verdicts), indent=1
         )
         (output / f"{experiment.name}.json").write_text(text, "utf-8")
     return not missed
--- a/cyclamenwell/load/report.py
+++ b/cyclamenwell/load/report.py
@@ -11,7 +11,14 @@
 from cyclamenwell.generated import experiments
 from cyclamenwell.load import figures
 
-__all__ = ["Verdict", "build_json", "build_table", "judge", "render_rows"]
+__all__ = [
+    "Verdict",
+    "build_failures",
+    "build_json",
+    "build_table",
+    "judge",
+    "render_rows",
+]
 
 _NO_LEAST = -1e12
 _NO_MOST = 1e12
@@ -78,6 +85,18 @@
     return render_rows(rows)
 
 
+def build_failures(
+    failures: Mapping[str, Mapping[str, Mapping[str, int]]],
+) -> str:
+    """Return the kinds of failures of each side and phase, one line each."""
+    lines = []
+    for side, phases in failures.items():
+        for phase, counts in phases.items():
+            shown = ", ".join(f"{n} {kind}" for kind, n in counts.items())
+            lines.append(f"failures, {side}, {phase}: {shown or 'none'}")
+    return "\n".join(lines)
+
+
 def render_rows(rows: Sequence[Sequence[str]]) -> str:
     """Return rows of cells with aligned columns."""
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
@@ -93,6 +112,7 @@
 def build_json(
     experiment: experiments.Experiment,
     sides: Mapping[str, Sequence[figures.Figure]],
+    failures: Mapping[str, Mapping[str, Mapping[str, int]]],
     verdicts: Sequence[Verdict],
 ) -> dict[str, Any]:
     """Return all figures and verdicts as plain values."""
@@ -106,6 +126,7 @@
             ]
             for side, measured in sides.items()
         },
+        "failures": failures,
         "bounds": [
             {
                 "figure": one.bound.figure,
