--- a/cyclamenwell/standin/target.py
+++ b/cyclamenwell/standin/target.py
@@ -73,6 +73,9 @@
         Factor on the service time.
     sheds : bool
         Whether the target answers every request with its shed status.
+    passes_failures : bool
+        Whether the status of a failed further call is passed on, which may be
+        the shed status although a part of the work has run.
     health_lies, load_lies : bool
         Whether these endpoints report an idle, healthy target.
     seed : int
@@ -95,6 +98,7 @@
     starts_cold: bool = True
     slow_factor: float = 1.0
     sheds: bool = False
+    passes_failures: bool = False
     health_lies: bool = False
     load_lies: bool = False
     seed: int = 0
@@ -330,7 +334,9 @@
                 status, further = self._call_further(service, request, deadline)
                 if status != 200:
                     failure = {"error": f"{service} failed", "cause": further}
-                    return "failed", _build_json(_FAILED_STATUS, failure)
+                    passes = self._slots.plan.passes_failures
+                    failed = status if passes else _FAILED_STATUS
+                    return "failed", _build_json(failed, failure)
                 body["further"] = further
             complete = True
             return "complete", _build_json(200, body)
--- a/cyclamenwell/tests/test_retry_chain.py
+++ b/cyclamenwell/tests/test_retry_chain.py
@@ -24,12 +24,14 @@
             "meters",
             further_service="billing",
             further_path="/accounts/7",
+            passes_failures=True,
         )
         fleet.add(
             f"tally-{number}",
             "tally",
             further_service="meters",
             further_path="/accounts/7",
+            passes_failures=True,
         )
     fleet.start()
     response = fleet.call("tally-1", "tally", "/accounts/7", builders.KEY)
