Publish an instance list in the stop test

Cause: the test waited for a node to serve, which it does only with a list and documents, but published no list; the test then hung.

Change: the test publishes an empty list.

Conclusion: a node without any list does not serve, as the design says.

--- a/cyclamenwell/tests/test_stop.py
+++ b/cyclamenwell/tests/test_stop.py
@@ -208,6 +208,7 @@
 def test_sigterm_ends_the_program_with_status_0(tmp_path, mode):
     """Guards against a stop that hangs, also before configuration is there."""
     fleet = builders.build_fleet("billing")
+    fleet.publish_list()
     fleet.platform.set_mode(mode)
     path = write_settings(tmp_path, fleet.platform.port)
     child = subprocess.Popen(
