Parse HTTP by httptools

Cause: request heads, chunked bodies and answers were read by parsers of this project. Protocols belong to well-kept libraries.

Change: node/http1.py collects what httptools reports, bounds it and refuses ambiguous framing.

--- /dev/null
+++ b/cyclamenwell/node/http1.py
@@ -0,0 +1,362 @@
+"""Whole HTTP/1.1 requests and answers out of received bytes.
+
+`httptools` parses. This module collects what it reports, bounds it, and refuses
+what two readers could frame differently.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import httptools
+
+from cyclamenwell import exceptions
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
+from cyclamenwell.node import calls
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "AnswerParser",
+    "ReceivedAnswer",
+    "ReceivedRequest",
+    "RequestParser",
+]
+
+_Kind = enumerations.ErrorKind
+MAX_BODY_BYTES = 16 * 1024 * 1024
+_MAX_HEAD_BYTES = 64 * 1024  # Head and trailer of one message together.
+_LINE_BYTES = 4  # Colon, space and line end of a header.
+_MAX_INTERIM_ANSWERS = 16
+_MAX_STATUS = 599
+_SWITCHING = 101
+_FIRST_FINAL = 200
+_BODILESS = frozenset({204, 304})
+_VERSIONS = frozenset({"1.0", "1.1"})
+_CONTENT_LENGTH = "content-length"
+_TRANSFER_ENCODING = "transfer-encoding"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A whole request.
+
+    Parameters
+    ----------
+    request : calls.HttpRequest
+        The request.
+    keeps : bool
+        Whether the caller may send another one on the connection.
+    """
+
+    request: calls.HttpRequest
+    keeps: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReceivedAnswer:
+    """A whole answer.
+
+    Parameters
+    ----------
+    answer : calls.HttpAnswer
+        The answer with all its headers.
+    keeps : bool
+        Whether the connection may be used for another request.
+    """
+
+    answer: calls.HttpAnswer
+    keeps: bool
+
+
+class _MessageParser:
+    """What requests and answers have in common.
+
+    Parameters
+    ----------
+    too_large : enumerations.ErrorKind
+        Refusal of a body over `MAX_BODY_BYTES`.
+
+    Notes
+    -----
+    `httptools` calls the methods that begin with ``on_``. What one of them
+    raises ends the parsing.
+    """
+
+    _parser: httptools.HttpRequestParser | httptools.HttpResponseParser
+
+    def __init__(self, too_large: enumerations.ErrorKind) -> None:
+        self._too_large = too_large
+        self._reset()
+
+    def _reset(self) -> None:
+        self._headers: list[messages.Header] = []
+        self._body: list[bytes] = []
+        self._in_head = True
+        self._head_bytes = 0
+        self._body_bytes = 0
+        # Bytes since the last part: httptools keeps an unfinished header.
+        self._unfinished_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header, or count a trailer."""
+        self._unfinished_bytes = 0
+        self._head_bytes += len(name) + len(value) + _LINE_BYTES
+        # A trailer is no header: it came after the decisions on the request.
+        if self._in_head:
+            self._headers.append(
+                messages.Header(
+                    name.decode("latin-1").lower(),
+                    value.strip(b" \t").decode("latin-1"),
+                )
+            )
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._unfinished_bytes = 0
+        self._body_bytes += len(data)
+        self._body.append(data)
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        self._unfinished_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            raise error.__context__ from None
+        except httptools.HttpParserError as error:
+            raise exceptions.ProtocolError(f"malformed HTTP: {error}") from None
+        self._check_sizes()
+
+    def _check_sizes(self) -> None:
+        head_bytes = max(self._head_bytes, self._unfinished_bytes)
+        if head_bytes > _MAX_HEAD_BYTES:
+            raise exceptions.ProtocolError(
+                f"the head has more than {_MAX_HEAD_BYTES} bytes"
+            )
+        self._check_body_size(self._body_bytes)
+
+    def _check_body_size(self, size: int) -> None:
+        if size > MAX_BODY_BYTES:
+            raise exceptions.RefusedError(
+                self._too_large,
+                f"the body has more than {MAX_BODY_BYTES} bytes",
+            )
+
+    def _end_head(self) -> None:
+        """Check a whole head; `httptools` has checked each header."""
+        self._in_head = False
+        self._unfinished_bytes = 0
+        self._check_sizes()
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            raise exceptions.ProtocolError(f"HTTP/{version} is not supported")
+        for length in self._list_values(_CONTENT_LENGTH):
+            self._check_body_size(int(length))
+        codings = [v.lower() for v in self._list_values(_TRANSFER_ENCODING)]
+        if codings and (codings != ["chunked"] or version == "1.0"):
+            raise exceptions.ProtocolError(
+                f"transfer-encoding of HTTP/{version}: got "
+                f"{', '.join(codings)!r}, must be chunked of HTTP/1.1"
+            )
+
+    def _list_values(self, name: str) -> list[str]:
+        return [h.value for h in self._headers if h.name == name]
+
+    def _is_framed(self) -> bool:
+        return any(
+            h.name in (_CONTENT_LENGTH, _TRANSFER_ENCODING)
+            for h in self._headers
+        )
+
+
+class RequestParser(_MessageParser):
+    """Parses the requests of one connection in order."""
+
+    def __init__(self) -> None:
+        super().__init__(_Kind.BODY_TOO_LARGE)
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b""
+        self._keeps = False
+        self._has_begun = False
+        self._expects_continue = False
+        self._whole: collections.deque[ReceivedRequest] = collections.deque()
+        self._failure: exceptions.CyclamenwellError | None = None
+
+    def has_data(self) -> bool:
+        """Return whether at least a part of a request was received."""
+        return bool(self._whole or self._failure or self._has_begun)
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes."""
+        rest = memoryview(data)
+        try:
+            while rest:
+                rest = self._parse_to_upgrade(rest)
+        except exceptions.CyclamenwellError as error:
+            # The whole requests before it are answered first.
+            self._failure = error
+
+    def _parse_to_upgrade(self, data: memoryview) -> memoryview:
+        """Parse up to the end of a request for an upgrade; return the rest.
+
+        An upgrade is optional, so that request is answered as it is.
+        """
+        try:
+            self._parse(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            (parsed,) = upgrade.args
+            return data[parsed:]
+        return data[len(data) :]
+
+    def take(self) -> ReceivedRequest | None:
+        """Return the next request, if it is whole.
+
+        Raises
+        ------
+        exceptions.ProtocolError
+            If it is malformed.
+        exceptions.RefusedError
+            If its body is too large.
+        """
+        if self._whole:
+            return self._whole.popleft()
+        if self._failure is not None:
+            raise self._failure
+        return None
+
+    def take_expectation(self) -> bool:
+        """Return, once, whether the caller waits to be asked for the body."""
+        expects = self._expects_continue and not self._body_bytes
+        self._expects_continue = False
+        return expects
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._reset()
+        self._url = b""
+        self._has_begun = True
+
+    def on_url(self, data: bytes) -> None:
+        """Take a part of the path."""
+        self._head_bytes += len(data)
+        self._url += data
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self._end_head()
+        if not self._url.startswith(b"/"):
+            raise exceptions.ProtocolError("the path must begin with a slash")
+        if len(self._list_values("host")) > 1:
+            raise exceptions.ProtocolError("more than one header host")
+        if self._parser.should_upgrade() and self._is_framed():
+            # httptools would take the body for the next request.
+            raise exceptions.ProtocolError("an upgrade with a body")
+        is_old = self._parser.get_http_version() == "1.0"
+        self._keeps = self._parser.should_keep_alive() and not is_old
+        self._expects_continue = not is_old and any(
+            value.lower() == "100-continue"
+            for value in self._list_values("expect")
+        )
+
+    def on_message_complete(self) -> None:
+        """Keep the whole request."""
+        self._check_sizes()
+        request = calls.HttpRequest(
+            method=self._parser.get_method().decode("latin-1"),
+            path=self._url.decode("latin-1"),
+            headers=tuple(self._headers),
+            body=b"".join(self._body),
+        )
+        self._whole.append(ReceivedRequest(request, self._keeps))
+        self._reset()
+        self._has_begun = False
+        self._expects_continue = False
+
+
+class AnswerParser(_MessageParser):
+    """Parses the answers of one connection, each to the request just sent."""
+
+    def __init__(self) -> None:
+        super().__init__(_Kind.ANSWER_TOO_LARGE)
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_head = False
+        self.begin("GET")
+
+    def begin(self, method: str) -> None:
+        """Expect the answer to a request."""
+        if self._is_head:
+            # httptools still waits for the body that its head announced.
+            self._parser = httptools.HttpResponseParser(self)
+        self._is_head = method == "HEAD"
+        self._status = 0
+        self._interim = 0
+        self._keeps = False
+        self._is_whole = False
+        self._has_more = False
+
+    def feed(self, data: bytes) -> ReceivedAnswer | None:
+        """Parse received bytes and return the answer when it is whole.
+
+        Raises
+        ------
+        exceptions.ProtocolError
+            If it is malformed or its end can not be told.
+        exceptions.RefusedError
+            If it is too large.
+        """
+        try:
+            self._parse(data)
+        except exceptions.ProtocolError:
+            if not self._is_whole:
+                raise
+            self._has_more = True
+        if not self._is_whole:
+            return None
+        body = b"" if self._is_head else b"".join(self._body)
+        return ReceivedAnswer(
+            calls.HttpAnswer(self._status, tuple(self._headers), body),
+            self._keeps and not self._has_more,
+        )
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; one after the whole answer belongs to nobody."""
+        if self._is_whole:
+            self._has_more = True
+            raise exceptions.ProtocolError("more than one answer")
+        self._reset()
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if self._is_whole:
+            self._has_more = True
+            return
+        super().on_body(data)
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self._end_head()
+        self._status = self._parser.get_status_code()
+        if self._status == _SWITCHING or self._status > _MAX_STATUS:
+            raise exceptions.ProtocolError(f"status {self._status}")
+        if self._status < _FIRST_FINAL:
+            self._count_interim()
+            return
+        self._keeps = self._parser.should_keep_alive()
+        if self._is_head:
+            self._is_whole = True
+        elif self._status not in _BODILESS and not self._is_framed():
+            raise exceptions.ProtocolError(
+                "neither length nor chunks, so an early end can not be told"
+            )
+
+    def on_message_complete(self) -> None:
+        """Note the end of an answer that is not interim."""
+        self._check_sizes()
+        if self._status >= _FIRST_FINAL:
+            self._is_whole = True
+
+    def _count_interim(self) -> None:
+        self._interim += 1
+        if self._interim > _MAX_INTERIM_ANSWERS:
+            raise exceptions.ProtocolError("too many interim answers")
--- a/cyclamenwell/node/target.py
+++ b/cyclamenwell/node/target.py
@@ -11,13 +11,13 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell import sockets
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import messages
 from cyclamenwell.generated import settings
 from cyclamenwell.node import calls
 from cyclamenwell.node import cancellation as cancellations
 from cyclamenwell.node import headers
-from cyclamenwell.node import streams
+from cyclamenwell.node import http1
 
 __all__ = ["TargetClient"]
 
@@ -26,14 +26,8 @@
 # Many servers close a connection after 5 s without a request. One that is
 # closed while a request is on its way leaves the outcome unknown.
 _MAX_IDLE_TIME = clock.Milliseconds(4000)
-_MAX_ANSWER_BYTES = 16 * 1024 * 1024
-_MAX_HEAD_BYTES = 64 * 1024
-_MAX_INTERIM_ANSWERS = 16
 _MIN_TIMEOUT = clock.Milliseconds(1)
-_SWITCHING = 101
-_BODILESS = frozenset({204, 304})
 _WITH_LENGTH = frozenset({"POST", "PUT", "PATCH"})
-_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?\r\n")
 _REQUEST_LINE = re.compile(
     r"[!#$%&'*+.^_`|~0-9A-Za-z-]+ /[\x21-\x7e]* HTTP/1\.1"
 )
@@ -44,25 +38,13 @@
     """An open connection to the target."""
 
     socket: socket.socket
-    stream: streams.Stream
+    parser: http1.AnswerParser
     idle_since: clock.Milliseconds
 
     def close(self) -> None:
         self.socket.close()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Head:
-    """Status line and headers of an answer."""
-
-    version: int
-    status: int
-    headers: tuple[messages.Header, ...]
-
-    def list_values(self, name: str) -> list[str]:
-        return [h.value for h in self.headers if h.name == name]
-
-
 class TargetClient:
     """Sends requests to the target, one at a time on each connection.
 
@@ -72,13 +54,6 @@
         Address and timeouts.
     time : clock.Clock
         Clock of the deadlines.
-
-    Notes
-    -----
-    The standard library's client takes an answer that ends inside a chunk
-    size or has a malformed length for whole, takes an interim answer for the
-    final one, and bounds the time of each read only. None of that is allowed
-    here, so answers are read by `streams`.
     """
 
     def __init__(
@@ -127,7 +102,7 @@
 
         cancellation.add_callback(shut_down)
         try:
-            answer, keeps = self._exchange(
+            received = self._exchange(
                 connection, sent, request.method, deadline
             )
         except (OSError, exceptions.ProtocolError) as error:
@@ -138,8 +113,12 @@
             raise
         finally:
             cancellation.remove_callback(shut_down)
-        self._give_back(connection, keeps and not cancellation.cancelled)
-        return answer
+        keeps = received.keeps and not cancellation.cancelled
+        self._give_back(connection, keeps)
+        answer = received.answer
+        return dataclasses.replace(
+            answer, headers=headers.keep_end_to_end(answer.headers)
+        )
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -176,24 +155,18 @@
         sent: bytes,
         method: str,
         deadline: clock.Milliseconds,
-    ) -> tuple[calls.HttpAnswer, bool]:
-        remaining = max(deadline - self._time.now(), _MIN_TIMEOUT)
-        connection.socket.settimeout(remaining.seconds)
-        connection.socket.sendall(sent)
-        stream = connection.stream
-        stream.deadline = deadline
-        head = _read_final_head(stream)
-        body = b""
-        if method != "HEAD" and head.status not in _BODILESS:
-            body = _read_body(stream, head)
-        answer = calls.HttpAnswer(
-            head.status, headers.keep_end_to_end(head.headers), body
-        )
-        closes = any(
-            "close" in value.lower() for value in head.list_values("connection")
-        )
-        keeps = head.version == 1 and not closes and not stream.has_data()
-        return answer, keeps
+    ) -> http1.ReceivedAnswer:
+        connection.parser.begin(method)
+        sockets.send(connection.socket, sent, deadline - self._time.now())
+        received = None
+        while received is None:
+            data = sockets.receive(
+                connection.socket, deadline - self._time.now()
+            )
+            if not data:
+                raise exceptions.ProtocolError("the connection ended early")
+            received = connection.parser.feed(data)
+        return received
 
     def _take(self, deadline: clock.Milliseconds) -> _Connection:
         while True:
@@ -202,7 +175,7 @@
                     break
                 connection = self._idle.pop()
             age = self._time.now() - connection.idle_since
-            if age < _MAX_IDLE_TIME and _is_quiet(connection.socket):
+            if age < _MAX_IDLE_TIME and sockets.is_quiet(connection.socket):
                 return connection
             connection.close()
         return self._open(deadline)
@@ -222,9 +195,8 @@
                 f"the target does not accept connections: {error}",
             ) from error
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return _Connection(
-            opened, streams.Stream(opened, self._time), self._time.now()
-        )
+        opened.settimeout(None)
+        return _Connection(opened, http1.AnswerParser(), self._time.now())
 
     def _give_back(self, connection: _Connection, keeps: bool) -> None:
         if keeps:
@@ -236,67 +208,6 @@
         connection.close()
 
 
-def _is_quiet(connection: socket.socket) -> bool:
-    """Return whether nothing, not even an end of stream, waits to be read."""
-    connection.setblocking(False)
-    try:
-        connection.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
-def _read_final_head(stream: streams.Stream) -> _Head:
-    """Read heads until one that is not interim."""
-    for _ in range(_MAX_INTERIM_ANSWERS):
-        line = stream.readline(_MAX_HEAD_BYTES)
-        match = _STATUS_LINE.fullmatch(line)
-        if match is None:
-            raise exceptions.ProtocolError(f"no status line: {line[:80]!r}")
-        head = _Head(
-            int(match.group(1)),
-            int(match.group(2)),
-            streams.read_headers(stream, _MAX_HEAD_BYTES),
-        )
-        if head.status == _SWITCHING:
-            raise exceptions.ProtocolError("the target switched protocols")
-        if head.status >= 200:
-            return head
-    raise exceptions.ProtocolError("too many interim answers")
-
-
-def _read_body(stream: streams.Stream, head: _Head) -> bytes:
-    lengths = head.list_values("content-length")
-    codings = [c.lower() for c in head.list_values("transfer-encoding")]
-    if codings:
-        if lengths or codings != ["chunked"] or head.version == 0:
-            raise exceptions.ProtocolError(
-                f"ambiguous framing: transfer-encoding {codings}, "
-                f"content-length {lengths}"
-            )
-        return streams.read_chunks(
-            stream, _MAX_ANSWER_BYTES, _Kind.ANSWER_TOO_LARGE
-        )
-    if not lengths:
-        raise exceptions.ProtocolError(
-            "neither length nor chunks, so an early end can not be told"
-        )
-    length = streams.parse_length(lengths)
-    if length > _MAX_ANSWER_BYTES:
-        raise exceptions.RefusedError(
-            _Kind.ANSWER_TOO_LARGE,
-            f"the answer has more than {_MAX_ANSWER_BYTES} bytes",
-        )
-    body = stream.read(length)
-    if len(body) < length:
-        raise exceptions.ProtocolError(
-            f"the connection ended after {len(body)} of {length} bytes"
-        )
-    return body
-
-
 def _describe_failure(
     error: Exception, cancellation: cancellations.Cancellation
 ) -> exceptions.RefusedError:
--- a/cyclamenwell/node/tests/test_target.py
+++ b/cyclamenwell/node/tests/test_target.py
@@ -1,5 +1,6 @@
 """Exchanges with targets that break the protocol."""
 
+import contextlib
 import threading
 
 import pytest
@@ -127,6 +128,54 @@
     assert found == [("set-cookie", "a=1"), ("set-cookie", "b=2")]
 
 
+def test_trailers_are_no_headers(start):
+    """Guards against fields that override the head after it was judged."""
+    _, client = start(
+        reply(
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx: head\r\n\r\n"
+            b"2\r\nok\r\n0\r\nx: trailer\r\nset-cookie: a=1\r\n\r\n"
+        )
+    )
+    for _ in range(2):
+        answer = send(client)
+        assert [(h.name, h.value) for h in answer.headers] == [("x", "head")]
+        assert answer.body == b"ok"
+
+
+@pytest.mark.parametrize("part", [b"x: ", b"HTTP/1.1 200 OK\r\nx: "])
+def test_endless_head_or_trailer_is_refused(start, part):
+    """Guards against unbounded memory for fields outside of the body."""
+    chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n"
+    start_of = chunked + part if part == b"x: " else part
+
+    def script(connection, _):
+        connection.sendall(start_of)
+        with contextlib.suppress(OSError):
+            while True:
+                connection.sendall(b"y" * 4096)
+
+    _, client = start(script)
+    assert fail(client, wait=600_000) is Kind.INCOMPLETE_ANSWER
+
+
+def test_answer_to_head_is_whole_with_its_head(start):
+    """Guards against waiting for a body, and reading the next answer as it."""
+    numbers = iter(range(10))
+
+    def script(connection, _):
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\nx: %d\r\n\r\n"
+            % next(numbers)
+        )
+
+    target, client = start(script)
+    for number in range(3):
+        answer = send(client, calls.HttpRequest("HEAD", "/"))
+        assert answer.headers[0].value == str(number)
+        assert answer.body == b""
+    assert target.connections == 1
+
+
 @pytest.mark.parametrize("separately", [False, True])
 def test_second_answer_reaches_no_other_caller(start, separately):
     """Guards against an answer that nobody asked for on a kept connection."""
@@ -175,6 +224,7 @@
     """Guards against a timeout that starts again with each byte."""
 
     def script(connection, _):
+        connection.sendall(b"HTTP/1.1 200 OK\r\nx: ")
         while not target.release.wait(0.02):
             connection.sendall(b"x")
 
