Make fewer system calls and allocations on the path of a call

Cause: one call made settimeout, poll and recv for each part of a message, looked up metric children under a lock, and wrote and read the beginning of each Thrift message in Python.

Change: sockets without timeouts, frames received in one read, beginnings of messages made once for each class, metric children cached, plain constructors in place of dataclasses.replace. A second frame before the reply closes the connection.

--- a/cyclamenwell/node/executor.py
+++ b/cyclamenwell/node/executor.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from cyclamenwell import answers
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -283,6 +281,10 @@
             added.append(
                 messages.Header(headers.ORGANISATION, call.organisation)
             )
-        return dataclasses.replace(
-            call.request, headers=call.request.headers + tuple(added)
+        request = call.request
+        return calls.HttpRequest(
+            request.method,
+            request.path,
+            request.headers + tuple(added),
+            request.body,
         )
--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -36,6 +36,9 @@
 _VERSIONS = frozenset({"1.0", "1.1"})
 _CONTENT_LENGTH = "content-length"
 _TRANSFER_ENCODING = "transfer-encoding"
+_HOST = "host"
+_EXPECT = "expect"
+_JUDGED = frozenset({_CONTENT_LENGTH, _TRANSFER_ENCODING, _HOST, _EXPECT})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +95,7 @@
 
     def _reset(self) -> None:
         self._headers: list[messages.Header] = []
+        self._judged: dict[str, list[str]] = {}
         self._body: list[bytes] = []
         self._in_head = True
         self._head_bytes = 0
@@ -105,12 +109,11 @@
         self._head_bytes += len(name) + len(value) + _LINE_BYTES
         # A trailer is no header: it came after the decisions on the request.
         if self._in_head:
-            self._headers.append(
-                messages.Header(
-                    name.decode("latin-1").lower(),
-                    value.strip(b" \t").decode("latin-1"),
-                )
-            )
+            name = name.decode("latin-1").lower()
+            value = value.strip(b" \t").decode("latin-1")
+            self._headers.append(messages.Header(name, value))
+            if name in _JUDGED:
+                self._judged.setdefault(name, []).append(value)
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
@@ -161,12 +164,11 @@
             )
 
     def _list_values(self, name: str) -> list[str]:
-        return [h.value for h in self._headers if h.name == name]
+        return self._judged.get(name, [])
 
     def _is_framed(self) -> bool:
-        return any(
-            h.name in (_CONTENT_LENGTH, _TRANSFER_ENCODING)
-            for h in self._headers
+        return _CONTENT_LENGTH in self._judged or (
+            _TRANSFER_ENCODING in self._judged
         )
 
 
@@ -247,7 +249,7 @@
         self._end_head()
         if not self._url.startswith(b"/"):
             raise exceptions.ProtocolError("the path must begin with a slash")
-        if len(self._list_values("host")) > 1:
+        if len(self._list_values(_HOST)) > 1:
             raise exceptions.ProtocolError("more than one header host")
         if self._parser.should_upgrade() and self._is_framed():
             # httptools would take the body for the next request.
@@ -256,7 +258,7 @@
         self._keeps = self._parser.should_keep_alive() and not is_old
         self._expects_continue = not is_old and any(
             value.lower() == "100-continue"
-            for value in self._list_values("expect")
+            for value in self._list_values(_EXPECT)
         )
 
     def on_message_complete(self) -> None:
--- a/cyclamenwell/node/target.py
+++ b/cyclamenwell/node/target.py
@@ -116,8 +116,8 @@
         keeps = received.keeps and not cancellation.cancelled
         self._give_back(connection, keeps)
         answer = received.answer
-        return dataclasses.replace(
-            answer, headers=headers.keep_end_to_end(answer.headers)
+        return calls.HttpAnswer(
+            answer.status, headers.keep_end_to_end(answer.headers), answer.body
         )
 
     def close(self) -> None:
@@ -200,7 +200,9 @@
 
     def _give_back(self, connection: _Connection, keeps: bool) -> None:
         if keeps:
-            idle = dataclasses.replace(connection, idle_since=self._time.now())
+            idle = _Connection(
+                connection.socket, connection.parser, self._time.now()
+            )
             with self._lock:
                 if len(self._idle) < _MAX_IDLE:
                     self._idle.append(idle)
--- a/cyclamenwell/peers/client.py
+++ b/cyclamenwell/peers/client.py
@@ -15,6 +15,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell import sockets
 from cyclamenwell.generated import messages
 from cyclamenwell.peers import wire
 
@@ -163,7 +164,7 @@
                 if not idle:
                     return None
                 connection = idle.pop()
-            if _is_quiet(connection):
+            if sockets.is_quiet(connection):
                 return connection
             connection.close()
 
@@ -182,6 +183,7 @@
                 sent=False,
                 refused=refused,
             ) from error
+        connection.settimeout(None)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
@@ -195,22 +197,9 @@
         connection.close()
 
 
-def _is_quiet(connection: socket.socket) -> bool:
-    """Return whether nothing, not even an end of stream, waits to be read."""
-    connection.setblocking(False)
-    try:
-        connection.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 def _converse(connection: socket.socket, frame: bytes, end: float) -> Any:
     """Send a frame and return the decoded reply, all before a time."""
-    connection.settimeout(max(end - time.monotonic(), _MIN_TIMEOUT.seconds))
-    wire.send_frame(connection, frame)
+    wire.send_frame(connection, frame, end)
     received = wire.receive_frame(connection, end)
     if received is None:
         raise exceptions.ProtocolError("connection closed")
--- a/cyclamenwell/peers/tests/test_transport.py
+++ b/cyclamenwell/peers/tests/test_transport.py
@@ -142,3 +142,14 @@
     ) as connection:
         connection.sendall((wire.MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
         assert connection.recv(1) == b""
+
+
+def test_second_frame_without_a_reply_closes_the_connection(peer):
+    """Guards against dropping or mixing messages that arrive together."""
+    frame = wire.encode(messages.ListRequest(revision=2))
+    data = len(frame).to_bytes(4, "big") + frame
+    with socket.create_connection(
+        (LOOPBACK, peer.server.port), 5
+    ) as connection:
+        connection.sendall(data + data)
+        assert connection.recv(1) == b""
--- a/cyclamenwell/peers/wire.py
+++ b/cyclamenwell/peers/wire.py
@@ -9,9 +9,12 @@
 
 from thrift import Thrift
 from thrift.protocol import TBinaryProtocol
+from thrift.protocol import fastbinary
 from thrift.transport import TTransport
 
+from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell import sockets
 from cyclamenwell.generated import messages
 
 __all__ = ["MAX_FRAME_BYTES", "decode", "encode", "receive_frame", "send_frame"]
@@ -19,6 +22,22 @@
 MAX_FRAME_BYTES = 20 * 1024 * 1024  # A body of 16 MiB with its headers fits.
 
 _LENGTH = struct.Struct(">I")
+_RECEIVED_BYTES = 64 * 1024
+
+
+def _encode_beginning(cls: type) -> bytes:
+    transport = TTransport.TMemoryBuffer()
+    TBinaryProtocol.TBinaryProtocol(transport).writeMessageBegin(
+        cls.__name__, Thrift.TMessageType.CALL, 0
+    )
+    return transport.getvalue()
+
+
+# What precedes the struct is the same in all messages of a class. No beginning
+# is the beginning of another one, as it holds the length of the name.
+_BEGINNINGS = {
+    cls: _encode_beginning(cls) for cls in messages.WIRE_TYPES.values()
+}
 
 
 def encode(message: Any) -> bytes:
@@ -35,13 +54,8 @@
         Thrift message whose name is that of the class.
     """
     cls = type(message)
-    transport = TTransport.TMemoryBuffer()
-    protocol = TBinaryProtocol.TBinaryProtocolAccelerated(
-        transport, fallback=False
-    )
-    protocol.writeMessageBegin(cls.__name__, Thrift.TMessageType.CALL, 0)
-    transport.write(protocol._fast_encode(message, [cls, cls.THRIFT_SPEC]))
-    return transport.getvalue()
+    fields = fastbinary.encode_binary(message, [cls, cls.THRIFT_SPEC])
+    return _BEGINNINGS[cls] + fields
 
 
 def decode(frame: bytes) -> Any:
@@ -62,30 +76,54 @@
     exceptions.ProtocolError
         If the frame is not a message of the protocol.
     """
-    protocol = TBinaryProtocol.TBinaryProtocolAccelerated(
-        TTransport.TMemoryBuffer(frame), fallback=False
+    cls = _find_class(frame)
+    protocol = TBinaryProtocol.TBinaryProtocol(
+        TTransport.TMemoryBuffer(frame, len(_BEGINNINGS[cls]))
     )
     try:
-        name, _, _ = protocol.readMessageBegin()
-        cls = messages.WIRE_TYPES[name]
-        return protocol._fast_decode(None, protocol, [cls, cls.THRIFT_SPEC])
+        return fastbinary.decode_binary(None, protocol, [cls, cls.THRIFT_SPEC])
     except Exception as error:
         # The codec raises many types on malformed input, EOFError, TypeError,
         # UnicodeDecodeError and its own among them.
         raise exceptions.ProtocolError(
-            f"frame of {len(frame)} bytes is not a message: {error!r}"
+            f"frame of {len(frame)} bytes is no {cls.__name__}: {error!r}"
         ) from error
 
 
-def send_frame(connection: socket.socket, frame: bytes) -> None:
+def _find_class(frame: bytes) -> type:
+    for cls, beginning in _BEGINNINGS.items():
+        if frame.startswith(beginning):
+            return cls
+    raise exceptions.ProtocolError(
+        f"frame of {len(frame)} bytes is no known message: {frame[:40]!r}"
+    )
+
+
+def send_frame(
+    connection: socket.socket, frame: bytes, end: float | None = None
+) -> None:
     """Send one frame.
 
+    Parameters
+    ----------
+    connection : socket.socket
+        Connection without a timeout of its own.
+    frame : bytes
+        The frame.
+    end : float or None
+        Time of `time.monotonic` by which it must be sent.
+
     Raises
     ------
     OSError
-        If the connection fails; part of the frame may have been sent.
+        If the connection fails or times out; part of the frame may have been
+        sent.
     """
-    connection.sendall(_LENGTH.pack(len(frame)) + frame)
+    data = _LENGTH.pack(len(frame)) + frame
+    if end is None:
+        connection.sendall(data)
+        return
+    sockets.send(connection, data, _find_remaining(end))
 
 
 def receive_frame(
@@ -96,7 +134,7 @@
     Parameters
     ----------
     connection : socket.socket
-        Connection to read from.
+        Connection to read from, without a timeout of its own.
     end : float or None
         Time of `time.monotonic` by which the frame must be whole, so that a
         peer that sends byte by byte can not hold the caller.
@@ -109,46 +147,42 @@
     Raises
     ------
     exceptions.ProtocolError
-        If the frame is too long or ends early.
+        If the frame is too long, ends early or is followed by another one: a
+        connection carries one message at a time.
     OSError
         If the connection fails or times out.
     """
-    head = _receive_exactly(connection, _LENGTH.size, end)
-    if head is None:
+    first = _receive(connection, end)
+    if not first:
         return None
-    (length,) = _LENGTH.unpack(head)
+    buffer = bytearray(first)
+    while len(buffer) < _LENGTH.size:
+        buffer += _receive_more(connection, end)
+    (length,) = _LENGTH.unpack_from(buffer)
     if length > MAX_FRAME_BYTES:
         raise exceptions.ProtocolError(
             f"frame of {length} bytes, at most {MAX_FRAME_BYTES} are allowed"
         )
-    frame = _receive_exactly(connection, length, end)
-    if frame is None and length:
+    whole = _LENGTH.size + length
+    while len(buffer) < whole:
+        buffer += _receive_more(connection, end)
+    if len(buffer) > whole:
+        raise exceptions.ProtocolError("two frames without a reply between")
+    return bytes(memoryview(buffer)[_LENGTH.size :])
+
+
+def _receive_more(connection: socket.socket, end: float | None) -> bytes:
+    part = _receive(connection, end)
+    if not part:
         raise exceptions.ProtocolError("connection closed inside a frame")
-    return frame or b""
+    return part
 
 
-def _receive_exactly(
-    connection: socket.socket, count: int, end: float | None
-) -> bytes | None:
-    """Return the bytes asked for, or None if there were none at all."""
-    first = _receive(connection, count, end)
-    if len(first) == count:
-        return first
-    if not first:
-        return None
-    buffer = bytearray(first)
-    while len(buffer) < count:
-        part = _receive(connection, count - len(buffer), end)
-        if not part:
-            raise exceptions.ProtocolError("connection closed inside a frame")
-        buffer += part
-    return bytes(buffer)
-
-
-def _receive(connection: socket.socket, count: int, end: float | None) -> bytes:
-    if end is not None:
-        remaining = end - time.monotonic()
-        if remaining <= 0:
-            raise TimeoutError("timed out")
-        connection.settimeout(remaining)
-    return connection.recv(count)
+def _receive(connection: socket.socket, end: float | None) -> bytes:
+    if end is None:
+        return connection.recv(_RECEIVED_BYTES)
+    return sockets.receive(connection, _find_remaining(end))
+
+
+def _find_remaining(end: float) -> clock.Milliseconds:
+    return clock.Milliseconds.from_seconds(end - time.monotonic())
--- a/cyclamenwell/sockets.py
+++ b/cyclamenwell/sockets.py
@@ -78,10 +78,6 @@
 
 def is_quiet(connection: socket.socket) -> bool:
     """Return whether nothing, not even an end of stream, waits to be read."""
-    try:
-        connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
+    poller = select.poll()
+    poller.register(connection, select.POLLIN)
+    return not poller.poll(0)
--- a/cyclamenwell/telemetry/metrics.py
+++ b/cyclamenwell/telemetry/metrics.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import functools
+
 import prometheus_client
 
 from cyclamenwell import clock
 
 __all__ = ["count_call", "render"]
 
+_CACHED_CHILDREN = 4096
+
 _calls = prometheus_client.Counter(
     "cyclamenwell_calls",
     "Calls that entered at this node, by service and kind of refusal.",
@@ -38,8 +42,17 @@
     """
     if refusal == "NO_SUCH_SERVICE":
         service = "unknown"
-    _calls.labels(service, refusal).inc()
-    _call_seconds.labels(service).observe(duration.seconds)
+    counter, histogram = _find_children(service, refusal)
+    counter.inc()
+    histogram.observe(duration.seconds)
+
+
+@functools.lru_cache(maxsize=_CACHED_CHILDREN)
+def _find_children(
+    service: str, refusal: str
+) -> tuple[prometheus_client.Counter, prometheus_client.Histogram]:
+    """Return the metrics of one service; `labels` takes a lock each time."""
+    return _calls.labels(service, refusal), _call_seconds.labels(service)
 
 
 def render() -> bytes:
