--- a/cyclamenwell/load/bench.py
+++ b/cyclamenwell/load/bench.py
@@ -43,7 +43,7 @@
 # Functions whose times, with all that they call, divide a call into parts.
 _PARTS = (
     ("whole call", ("webserver.py", "_answer")),
-    ("parse the request (cheroot)", ("server.py", "parse_request")),
+    ("parse the request", ("http1.py", "feed")),
     ("  of it: request line", ("server.py", "read_request_line")),
     ("  of it: header lines", ("server.py", "read_request_headers")),
     ("copy the request's headers", ("webserver.py", "_read_headers")),
