Hold rate and burst of organisations over all instances

Cause: each node used an equal part of every limit by its own list, which exceeds the limit while lists differ and refuses uneven traffic.

Change: nodes declare live views to their service peers and settle on a view when every member that may hold a share is bound by it. Share units move between nodes by leases ahead of need. Declarations carry all live views with their members, and a version of the service document is live like a view.

Deliberately broken variants are caught by the tests: settling at once, lending without reducing the own units, declaring a view before leases fit in it, and a newcomer that ignores older views.

Refusals within rate remain for small bursts spread over many nodes.

--- a/cyclamenwell/limits/bucket.py
+++ b/cyclamenwell/limits/bucket.py
@@ -13,20 +13,20 @@
     Parameters
     ----------
     now : clock.Milliseconds
-        Present time.
+        Time from which tokens come in.
 
     Notes
     -----
-    The level never exceeds the cap, so in any window of T seconds at most
-    ``cap + rate * T`` tokens are taken. The owner holds the lock.
+    A bucket starts empty and only refilling, a refund or tokens moved from
+    another bucket raise its level, so that capacity which moves between nodes
+    brings no tokens of its own. The owner holds the lock.
     """
 
     def __init__(self, now: clock.Milliseconds) -> None:
         self.rate_per_second = 0.0
         self.cap = 0.0
         self.level = 0.0
-        self._filled_at = now
-        self._fresh = True
+        self.filled_at = now
 
     def resize(
         self, rate_per_second: float, cap: float, now: clock.Milliseconds
@@ -35,15 +35,14 @@
         self.refill(now)
         self.rate_per_second = rate_per_second
         self.cap = cap
-        if self._fresh:
-            self.level = cap
-            self._fresh = False
         self.level = min(self.level, cap)
 
     def refill(self, now: clock.Milliseconds) -> None:
         """Add the tokens that have come since the last refill."""
-        elapsed = max((now - self._filled_at).seconds, 0.0)
-        self._filled_at = now
+        if now <= self.filled_at:
+            return
+        elapsed = (now - self.filled_at).seconds
+        self.filled_at = now
         self.level = min(self.level + elapsed * self.rate_per_second, self.cap)
 
     def take(self, now: clock.Milliseconds) -> bool:
@@ -55,5 +54,18 @@
         return True
 
     def refund(self) -> None:
-        """Put back one token."""
-        self.level = min(self.level + 1.0, self.cap)
+        """Put back one token, as far as it fits under the cap."""
+        self.add(1.0)
+
+    def add(self, tokens: float) -> None:
+        """Add tokens that another bucket has given up."""
+        self.level = min(self.level + tokens, self.cap)
+
+    def find_wait(self) -> clock.Milliseconds | None:
+        """Return the time until there is a token, None if there is no end."""
+        if self.level >= 1.0:
+            return clock.ZERO
+        if self.cap < 1.0 or self.rate_per_second <= 0:
+            return None
+        missing = (1.0 - self.level) / self.rate_per_second
+        return clock.Milliseconds.from_seconds(missing)
--- /dev/null
+++ b/cyclamenwell/limits/tests/builders.py
@@ -0,0 +1,189 @@
+"""Random histories of a simulated service."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cyclamenwell import clock
+from cyclamenwell.generated import settings
+from cyclamenwell.testing import shares as simulation
+
+__all__ = [
+    "ORGANISATION",
+    "Chaos",
+    "build_default_limits",
+    "build_limits",
+    "build_service",
+]
+
+ORGANISATION = "shops"
+_ANCHOR = "billing-00"
+_STEP = clock.Milliseconds(20)
+
+
+def build_limits() -> settings.LimitSettings:
+    """Return limits whose long times are short enough to simulate."""
+    return settings.LimitSettings(
+        lease_duration=clock.Milliseconds(400),
+        lease_margin=clock.Milliseconds(40),
+        share_hold=clock.Milliseconds(6000),
+        share_stop=clock.Milliseconds(4800),
+        max_token_wait=clock.ZERO,
+    )
+
+
+def build_default_limits() -> settings.LimitSettings:
+    """Return the default limits without a wait for tokens."""
+    return settings.LimitSettings(max_token_wait=clock.ZERO)
+
+
+def build_service(
+    seed: int, faults: simulation.Faults, count: int
+) -> simulation.SimulatedService:
+    """Return a service of running instances that know list and document."""
+    service = simulation.SimulatedService(
+        seed, build_limits(), clock.Milliseconds(100), faults
+    )
+    names = [f"billing-{number:02d}" for number in range(count)]
+    service.publish_list(names)
+    service.publish_document(simulation.build_caller(ORGANISATION, 400.0, 60.0))
+    for name in names:
+        service.start(name)
+    service.deliver_all()
+    return service
+
+
+@dataclasses.dataclass(slots=True)
+class Chaos:
+    """Random faults and changes, and an account of what they led to.
+
+    Parameters
+    ----------
+    service : simulation.SimulatedService
+        The service.
+    intensity : float
+        Events a second.
+
+    Notes
+    -----
+    One instance is never removed, so that some member of each new view knows
+    the views before it, as ``docs/limits.md`` assumes of the list.
+    """
+
+    service: simulation.SimulatedService
+    intensity: float = 3.0
+    next_number: int = 50
+    settled_steps: int = 0
+    steps: int = 0
+
+    def step(self) -> None:
+        """Cause what chance wants and advance time."""
+        random = self.service.random
+        if random.random() < self.intensity * _STEP.seconds:
+            random.choice(
+                (
+                    self.change_list,
+                    self.start_instance,
+                    self.end_instance,
+                    self.pause_instance,
+                    self.restart_instance,
+                    self.divide_network,
+                    self.publish_document,
+                )
+            )()
+        for name in list(self.service.nodes):
+            node = self.service.nodes[name]
+            if node.paused and random.random() < 0.2 * _STEP.seconds:
+                self.service.wake(name)
+            if not node.paused and random.random() < 2 * _STEP.seconds:
+                self.deliver_news(name)
+        if self.service.groups and random.random() < 0.2 * _STEP.seconds:
+            self.service.groups = {}
+        self.service.step(_STEP)
+        self.steps += 1
+        self.settled_steps += any(
+            node.count_held(ORGANISATION)
+            for node in self.service.nodes.values()
+        )
+
+    def deliver_news(self, name: str) -> None:
+        """Let a node see some newer revision and version, perhaps not all."""
+        service = self.service
+        node = service.nodes[name]
+        newest = len(service.history) - 1
+        service.deliver_list(
+            name, service.random.randint(min(node.revision, newest), newest)
+        )
+        newest = len(service.documents) - 1
+        service.deliver_document(
+            name, service.random.randint(min(node.version, newest), newest)
+        )
+
+    def change_list(self) -> None:
+        """Drop an instance from the list, alive or not, or list it again."""
+        service = self.service
+        members = set(service.history[-1])
+        if service.random.random() < 0.4:
+            # The list also changes for other services.
+            service.publish_list(members)
+            return
+        known = sorted(set(service.nodes) | members)
+        members ^= {service.random.choice(known)}
+        service.publish_list(members | {_ANCHOR})
+
+    def start_instance(self) -> None:
+        """Start and list a new instance."""
+        service = self.service
+        if len(service.nodes) >= 10:
+            return
+        name = f"billing-{self.next_number}"
+        self.next_number += 1
+        service.start(name)
+        service.publish_list(service.history[-1] | {name})
+
+    def end_instance(self) -> None:
+        """End an instance with a goodbye, a crash, or a silent host."""
+        service = self.service
+        names = sorted(set(service.nodes) - {_ANCHOR})
+        if len(names) < 2:
+            return
+        name = service.random.choice(names)
+        way = service.random.randrange(3)
+        if way == 0 and not service.nodes[name].paused:
+            service.say_goodbye(name)
+        else:
+            service.crash(name)
+        if way == 2:
+            service.silent.add(name)
+        if service.random.random() < 0.7:
+            service.publish_list(service.history[-1] - {name})
+
+    def restart_instance(self) -> None:
+        """Replace the process of an instance at its address."""
+        service = self.service
+        names = sorted(set(service.nodes) - {_ANCHOR})
+        if names:
+            service.start(service.random.choice(names))
+
+    def pause_instance(self) -> None:
+        """Stop a process from doing anything for a while."""
+        names = sorted(self.service.nodes)
+        self.service.nodes[self.service.random.choice(names)].paused = True
+
+    def divide_network(self) -> None:
+        """Cut the network in two."""
+        self.service.groups = {
+            name: self.service.random.randrange(2)
+            for name in self.service.nodes
+        }
+
+    def publish_document(self) -> None:
+        """Change the rate and the burst, also between ways of sharing."""
+        random = self.service.random
+        self.service.publish_document(
+            simulation.build_caller(
+                ORGANISATION,
+                random.choice((50.0, 200.0, 400.0)),
+                random.choice((1.0, 5.0, 20.0, 60.0)),
+            )
+        )
--- a/cyclamenwell/membership/directory.py
+++ b/cyclamenwell/membership/directory.py
@@ -96,12 +96,17 @@
         self._lock = threading.Lock()
         self._records: dict[str, PeerRecord] = {}
         self._listeners: list[Callable[[InstanceList], None]] = []
+        self._gone_listeners: list[Callable[[str], None]] = []
         self.current = InstanceList()
 
     def add_listener(self, listener: Callable[[InstanceList], None]) -> None:
         """Call a function after each new revision of the list."""
         self._listeners.append(listener)
 
+    def add_gone_listener(self, listener: Callable[[str], None]) -> None:
+        """Call a function with an instance whose address refused."""
+        self._gone_listeners.append(listener)
+
     def replace_list(
         self, revision: int, entries: Iterable[messages.InstanceEntry]
     ) -> bool:
@@ -151,6 +156,16 @@
                 gone=load.state is _State.GONE,
             )
 
+    def note_goodbye(self, sender: messages.Sender, state: _State) -> None:
+        """Take the state that a stopping peer announces."""
+        self.note_load(
+            messages.LoadReport(
+                instance=sender.instance,
+                incarnation=sender.incarnation,
+                state=state,
+            )
+        )
+
     def forget_load(self, instance: str) -> None:
         """Drop the report of an instance whose process was replaced."""
         with self._lock:
@@ -161,6 +176,8 @@
         with self._lock:
             record = self._records.get(instance, _UNKNOWN_PEER)
             self._records[instance] = dataclasses.replace(record, gone=True)
+        for listener in self._gone_listeners:
+            listener(instance)
 
 
 _UNKNOWN_PEER = PeerRecord()
--- a/cyclamenwell/node/executor.py
+++ b/cyclamenwell/node/executor.py
@@ -15,7 +15,6 @@
 from cyclamenwell.generated import settings
 from cyclamenwell.keys import contexts
 from cyclamenwell.limits import limiter as limiters
-from cyclamenwell.membership import directory as directories
 from cyclamenwell.node import calls
 from cyclamenwell.node import cancellation as cancellations
 from cyclamenwell.node import headers
@@ -46,8 +45,6 @@
         Clock of the deadlines.
     store : stores.Store
         Configuration in force.
-    directory : directories.Directory
-        Instances, for the share of this node.
     gate : gates.Gate
         Gate of the target.
     limiter : limiters.FleetLimiter
@@ -63,7 +60,6 @@
         instance: settings.InstanceSettings,
         time: clock.Clock,
         store: stores.Store,
-        directory: directories.Directory,
         gate: gates.Gate,
         limiter: limiters.FleetLimiter,
         registry: contexts.ContextRegistry,
@@ -72,7 +68,6 @@
         self._instance = instance
         self._time = time
         self._store = store
-        self._directory = directory
         self._gate = gate
         self._limiter = limiter
         self._registry = registry
@@ -172,10 +167,6 @@
             f"organisation {call.organisation} may not call {call.service}",
         )
 
-    def _find_share(self) -> float:
-        listed = self._directory.list_service(self._instance.service)
-        return 1.0 / max(len(listed), 1)
-
     def _take_token(
         self,
         call: calls.Call,
@@ -186,7 +177,9 @@
         caller = self._find_caller(call)
         if caller is None:
             return self._pass_gate(call, caller, allowance, cancellation)
-        self._limiter.take(caller, self._find_share())
+        self._limiter.take(
+            caller.organisation, call.deadline - self._time.now()
+        )
         try:
             return self._pass_gate(call, caller, allowance, cancellation)
         except exceptions.RefusedError as refusal:
--- a/cyclamenwell/node/handlers.py
+++ b/cyclamenwell/node/handlers.py
@@ -121,3 +121,41 @@
     """Report state and load."""
     del message, connection
     return messages.StatusReply(load=node.report_load())
+
+
+@_handle.register
+def _(
+    message: messages.ViewRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.ViewReply:
+    """Take a service peer's declaration and return the own one."""
+    del connection
+    if message.load is not None:
+        node.directory.note_load(message.load)
+    return node.ledger.answer_request(message, node.report_load())
+
+
+@_handle.register
+def _(
+    message: messages.LeaseRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.LeaseReply:
+    """Decide on a lease of share units."""
+    del connection
+    return node.limiter.grant(message)
+
+
+@_handle.register
+def _(
+    message: messages.GoodbyeRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.GoodbyeReply:
+    """Note that a peer is leaving or ends now."""
+    del connection
+    node.directory.note_goodbye(message.sender, message.state)
+    if message.state is enumerations.InstanceState.GONE:
+        node.ledger.note_goodbye(message.sender)
+    return messages.GoodbyeReply(incarnation=node.identity.incarnation)
--- a/cyclamenwell/node/operations.py
+++ b/cyclamenwell/node/operations.py
@@ -38,6 +38,7 @@
         if request.method != "GET":
             return _build_answer(405, _TEXT, b"only GET is allowed\n")
         if path == "/metrics":
+            metrics.record_units(self._node.limiter.report_units())
             return _build_answer(200, _TEXT, metrics.render())
         if path == "/status":
             return _build_json(self._describe_status())
--- a/cyclamenwell/node/parts.py
+++ b/cyclamenwell/node/parts.py
@@ -9,7 +9,9 @@
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.generated import messages
 from cyclamenwell.generated import settings
+from cyclamenwell.limits import limiter as limiters
 from cyclamenwell.membership import directory as directories
+from cyclamenwell.membership import views
 from cyclamenwell.node import cancellation as cancellations
 from cyclamenwell.node import executor as executors
 from cyclamenwell.peers import identity as identities
@@ -35,6 +37,10 @@
         Configuration in force.
     directory : directories.Directory
         Instances and their reports.
+    ledger : views.ViewLedger
+        Live views of the own service.
+    limiter : limiters.FleetLimiter
+        Rates of the organisations.
     executor : executors.Executor
         Runs calls at the own target.
     watcher : cancellations.DisconnectWatcher
@@ -47,6 +53,8 @@
     trail: audit.AuditTrail
     store: stores.Store
     directory: directories.Directory
+    ledger: views.ViewLedger
+    limiter: limiters.FleetLimiter
     executor: executors.Executor
     watcher: cancellations.DisconnectWatcher
 
--- a/cyclamenwell/node/process.py
+++ b/cyclamenwell/node/process.py
@@ -9,12 +9,16 @@
 from cyclamenwell.admission import gate as gates
 from cyclamenwell.configuration import audit
 from cyclamenwell.configuration import reader as readers
+from cyclamenwell.configuration import snapshot as snapshots
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import messages
 from cyclamenwell.generated import settings
 from cyclamenwell.keys import contexts
 from cyclamenwell.limits import limiter as limiters
+from cyclamenwell.limits import service_peers
 from cyclamenwell.membership import directory as directories
+from cyclamenwell.membership import views
 from cyclamenwell.node import cancellation as cancellations
 from cyclamenwell.node import dispatcher as dispatchers
 from cyclamenwell.node import executor as executors
@@ -59,6 +63,7 @@
         self._target = targets.TargetClient(loaded.target, time)
         self._client = peer_clients.PeerClient(loaded.peers.connect_timeout)
         self.parts = self._build_parts(time)
+        self._service_peers = self._build_service_peers()
         self._reader = readers.Reader(
             platform_clients.PlatformClient(loaded.platform.url),
             loaded.platform,
@@ -74,8 +79,10 @@
         self._operations_server.start()
         self._target_side_server.start()
         self._caller_server.start()
+        self._service_peers.start()
         self._reader.start()
         self._reader.wait_until_current()
+        self._wait_for_share()
         self.parts.executor.state = _State.SERVING
         _log.info(
             "serving %s as %s",
@@ -97,6 +104,7 @@
         max_drain = self._settings.stop.max_drain
         finished = self._caller_server.drain(max_drain)
         self._reader.stop()
+        self._service_peers.stop()
         self._peer_server.close()
         finished = self._target_side_server.drain(max_drain) and finished
         self._operations_server.drain(clock.ZERO)
@@ -111,17 +119,26 @@
         trail = audit.AuditTrail()
         store = stores.Store(time, trail)
         directory = directories.Directory(time)
+        identity = identities.Identity(
+            self._settings.instance.name,
+            directories.make_incarnation(time, random_bits),
+        )
+        limiter = limiters.FleetLimiter(identity, time, self._settings.limits)
         return parts.Parts(
             settings=self._settings,
-            identity=identities.Identity(
-                self._settings.instance.name,
-                directories.make_incarnation(time, random_bits),
-            ),
+            identity=identity,
             time=time,
             trail=trail,
             store=store,
             directory=directory,
-            executor=self._build_executor(time, store, directory),
+            ledger=views.ViewLedger(
+                identity,
+                time,
+                self._settings.limits,
+                self._settings.peers.view_interval,
+            ),
+            limiter=limiter,
+            executor=self._build_executor(time, store, limiter),
             watcher=cancellations.DisconnectWatcher(),
         )
 
@@ -129,19 +146,60 @@
         self,
         time: clock.Clock,
         store: stores.Store,
-        directory: directories.Directory,
+        limiter: limiters.FleetLimiter,
     ) -> executors.Executor:
         return executors.Executor(
             instance=self._settings.instance,
             time=time,
             store=store,
-            directory=directory,
             gate=gates.Gate(time, 200),
-            limiter=limiters.FleetLimiter(time),
+            limiter=limiter,
             registry=self._registry,
             target=self._target,
         )
 
+    def _wait_for_share(self) -> None:
+        """Wait until requests within their rate need not be refused.
+
+        Notes
+        -----
+        A node whose peers are slow to settle serves from leases meanwhile.
+        """
+        hold = self.parts.ledger.lease_hold
+        longest = hold + self._settings.peers.view_interval * 2
+        if not self.parts.ledger.wait_until_settled(longest):
+            _log.warn("serving without a base share")
+
+    def _build_service_peers(self) -> service_peers.ServicePeers:
+        node = self.parts
+        node.store.add_listener(self._take_documents)
+        return service_peers.ServicePeers(
+            service=self._settings.instance.service,
+            time=node.time,
+            ledger=node.ledger,
+            limiter=node.limiter,
+            directory=node.directory,
+            client=self._client,
+            timeout=self._settings.peers.call_timeout,
+            lease_timeout=self._settings.limits.lease_duration * 0.25,
+            report_load=node.report_load,
+        )
+
+    def _take_documents(
+        self,
+        snapshot: snapshots.Snapshot,
+        accepted: tuple[messages.VersionEntry, ...],
+    ) -> None:
+        """Pass the limits of a new version of the own service's document."""
+        service = self._settings.instance.service
+        for entry in accepted:
+            if entry.name == f"service/{service}":
+                document = snapshot.services.get(service)
+                callers = document.callers if document else ()
+                # The ledger's bound must not come before the plan it names.
+                self.parts.limiter.apply_document(entry.version, callers)
+                self.parts.ledger.note_version(entry.version)
+
     def _build_dispatcher(self) -> dispatchers.Dispatcher:
         node = self.parts
         return dispatchers.Dispatcher(
--- a/cyclamenwell/telemetry/metrics.py
+++ b/cyclamenwell/telemetry/metrics.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import prometheus_client
 
 from cyclamenwell import clock
 
-__all__ = ["count_call", "render"]
+__all__ = ["count_call", "count_rate_refusal", "record_units", "render"]
 
 _calls = prometheus_client.Counter(
     "cyclamenwell_calls",
@@ -19,6 +21,16 @@
     ["service"],
     buckets=(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1, 5),
 )
+_rate_refusals = prometheus_client.Counter(
+    "cyclamenwell_rate_refusals",
+    "Requests refused at this node for want of a token, by organisation.",
+    ["organisation"],
+)
+_share_units = prometheus_client.Gauge(
+    "cyclamenwell_share_units",
+    "Millionths of an organisation's limit: held, borrowed or lent.",
+    ["organisation", "kind"],
+)
 
 
 def count_call(
@@ -42,6 +54,25 @@
     _call_seconds.labels(service).observe(duration.seconds)
 
 
+def count_rate_refusal(organisation: str) -> None:
+    """Count a request that was refused for want of a token."""
+    _rate_refusals.labels(organisation).inc()
+
+
+def record_units(units: Mapping[str, tuple[int, int, int]]) -> None:
+    """Record the share units of a node.
+
+    Parameters
+    ----------
+    units : Mapping of str to tuple of int
+        Units held, borrowed and lent by organisation.
+    """
+    for organisation, (held, borrowed, lent) in units.items():
+        _share_units.labels(organisation, "held").set(held)
+        _share_units.labels(organisation, "borrowed").set(borrowed)
+        _share_units.labels(organisation, "lent").set(lent)
+
+
 def render() -> bytes:
     """Return all metrics in the text format of Prometheus."""
     return prometheus_client.generate_latest()
--- a/cyclamenwell/testing/builders.py
+++ b/cyclamenwell/testing/builders.py
@@ -22,6 +22,13 @@
     "find_free_ports",
 ]
 
+# A node has no share until the leases of an earlier process are over.
+_SHORT_LEASES = """
+limits:
+  lease_duration: 200
+  lease_margin: 20
+"""
+
 
 def find_free_ports(count: int) -> list[int]:
     """Return ports on loopback that are free now."""
@@ -137,4 +144,6 @@
 platform:
   url: http://127.0.0.1:{platform_port}
 {extra}"""
+    if "limits:" not in extra:
+        text += _SHORT_LEASES
     return files.read_settings(text, "settings.yaml")
--- a/cyclamenwell/testing/fleet.py
+++ b/cyclamenwell/testing/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import threading
 import time
 from typing import Any
 
@@ -122,8 +123,15 @@
     def start(self) -> None:
         """Publish the list and start all nodes."""
         self.publish_list()
-        for member in self.members.values():
-            member.node.start()
+        # Nodes of one service settle together, so none can wait for the last.
+        starts = [
+            threading.Thread(target=member.node.start)
+            for member in self.members.values()
+        ]
+        for start in starts:
+            start.start()
+        for start in starts:
+            start.join()
 
     def stop(self) -> None:
         """Stop all nodes."""
--- /dev/null
+++ b/cyclamenwell/testing/share_figures.py
@@ -0,0 +1,148 @@
+"""Measures on simulated nodes how shares follow the traffic.
+
+Run ``python -m cyclamenwell.testing.share_figures``. The figures are in
+``docs/limits.md``.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from absl import logging
+
+from cyclamenwell import clock
+from cyclamenwell.generated import settings
+from cyclamenwell.testing import shares as simulation
+
+__all__ = ["Scenario", "measure"]
+
+_ORGANISATION = "shops"
+_STEP = clock.Milliseconds(2)
+_IDLE_STEP = clock.Milliseconds(100)
+_WAIT = clock.Milliseconds(50)  # Default of `max_token_wait`.
+_MARKS_MS = (100, 300, 1000, 3000, 10_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """Traffic of one organisation.
+
+    Parameters
+    ----------
+    name : str
+        Description.
+    hot : int
+        How many of the nodes get the traffic in turn.
+    offered : float
+        Requests a second, as a multiple of the rate.
+    rate, burst : float
+        Limits over all nodes.
+    count : int
+        Instances of the service.
+    loss : float
+        Probability that a message is lost.
+    """
+
+    name: str
+    hot: int = 1
+    offered: float = 1.0
+    rate: float = 2400.0
+    burst: float = 480.0
+    count: int = 24
+    loss: float = 0.0
+
+
+SCENARIOS = (
+    Scenario("all at one node"),
+    Scenario("all at one node, 5% of messages lost", loss=0.05),
+    Scenario("at 3 nodes", hot=3),
+    Scenario("at 3 nodes, 80% of the rate", hot=3, offered=0.8),
+    Scenario("at all nodes, 80% of the rate", hot=24, offered=0.8),
+    Scenario("at all nodes", hot=24),
+    Scenario("at all nodes, twice the rate", hot=24, offered=2.0),
+    Scenario("burst 10, rate 100, one node", rate=100.0, burst=10.0),
+    Scenario(
+        "burst 10, rate 100, all nodes, 80%",
+        hot=24,
+        offered=0.8,
+        rate=100.0,
+        burst=10.0,
+    ),
+)
+
+
+def build(scenario: Scenario) -> tuple[simulation.SimulatedService, list[str]]:
+    """Return a settled service with full buckets."""
+    names = [f"billing-{number:03d}" for number in range(scenario.count)]
+    service = simulation.SimulatedService(
+        1,
+        settings.LimitSettings(max_token_wait=clock.ZERO),
+        settings.PeerSettings().view_interval,
+        simulation.Faults(loss=scenario.loss),
+    )
+    service.publish_list(names)
+    service.publish_document(
+        simulation.build_caller(_ORGANISATION, scenario.rate, scenario.burst)
+    )
+    for name in names:
+        service.start(name)
+    service.deliver_all()
+    service.run(clock.Milliseconds(35_000), _IDLE_STEP)
+    return service, names
+
+
+def measure(scenario: Scenario) -> None:
+    """Print admitted parts of the entitled requests and the traffic."""
+    service, names = build(scenario)
+    service.message_count = service.byte_count = 0
+    service.run(clock.Milliseconds(60_000), _IDLE_STEP)
+    idle = 2 * service.byte_count / 60 / len(names)
+    service.message_count = service.byte_count = 0
+    parts = []
+    due = offered = admitted = 0
+    start = service.now
+    waiting: list[tuple[clock.Milliseconds, simulation.SimulatedNode]] = []
+    last_entitled = last_admitted = 0.0
+    for mark in _MARKS_MS:
+        end = start + clock.Milliseconds(mark)
+        while service.now < end:
+            service.step(_STEP)
+            kept = []
+            for since, node in waiting:
+                if node.take_late(_ORGANISATION):
+                    admitted += 1
+                elif service.now < since + _WAIT:
+                    kept.append((since, node))
+            waiting = kept
+            due += scenario.rate * scenario.offered * _STEP.seconds
+            while due >= 1:
+                due -= 1
+                node = service.nodes[names[offered % scenario.hot]]
+                offered += 1
+                if node.take(_ORGANISATION):
+                    admitted += 1
+                else:
+                    waiting.append((service.now, node))
+        entitled = mark / 1000 * scenario.rate * min(scenario.offered, 1.0)
+        part = (admitted - last_admitted) / (entitled - last_entitled)
+        last_entitled, last_admitted = entitled, admitted
+        parts.append(f"{part:.3f}")
+    seconds = _MARKS_MS[-1] / 1000
+    messages = 2 * service.message_count / seconds / len(names)
+    traffic = 2 * service.byte_count / seconds / len(names)
+    print(
+        f"| {scenario.name} | {' | '.join(parts)} | {messages:.1f} | "
+        f"{traffic:.0f} | {idle:.0f} |",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Measure all scenarios."""
+    logging.set_verbosity(logging.ERROR)
+    for scenario in SCENARIOS:
+        measure(scenario)
+
+
+if __name__ == "__main__":
+    main()
