--- /dev/null
+++ b/cyclamenwell/node/claims.py
@@ -0,0 +1,158 @@
+"""Connects claims of idempotency keys with the views and peers of a node."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from typing import Any
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.generated import messages
+from cyclamenwell.generated import settings
+from cyclamenwell.idempotency import answers
+from cyclamenwell.idempotency import claimer as claimers
+from cyclamenwell.idempotency import guard as guards
+from cyclamenwell.idempotency import registrar as registrars
+from cyclamenwell.membership import directory as directories
+from cyclamenwell.membership import views
+from cyclamenwell.peers import client as peer_clients
+from cyclamenwell.peers import identity as identities
+
+__all__ = ["ClaimParts", "build_claims"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimParts:
+    """Parts that run non-idempotent requests at most once.
+
+    Parameters
+    ----------
+    registrar : registrars.Registrar
+        Decides claims of peers and of this node.
+    claimer : claimers.Claimer
+        Claims keys for this node.
+    guard : guards.Guard
+        Runs requests with a claim.
+    """
+
+    registrar: registrars.Registrar
+    claimer: claimers.Claimer
+    guard: guards.Guard
+
+
+class _LedgerViews:
+    """Views of the ledger, with wall times as idempotency keys have them."""
+
+    def __init__(self, ledger: views.ViewLedger, time: clock.Clock) -> None:
+        self._ledger = ledger
+        self._time = time
+
+    def list_live_views(self) -> tuple[views.View, ...]:
+        standing = self._ledger.standing
+        return standing.views if standing.settled else ()
+
+    def find_settled_time(self) -> clock.Milliseconds | None:
+        settled_at = self._ledger.settled_at
+        if settled_at is None:
+            return None
+        return self._time.wall() - (self._time.now() - settled_at)
+
+    def list_views_since(
+        self, wall: clock.Milliseconds
+    ) -> tuple[views.View, ...]:
+        since = self._time.now() - (self._time.wall() - wall)
+        tenures = self._ledger.list_tenures(since)
+        return tuple(tenure.view for tenure in tenures)
+
+
+class _Messenger:
+    """Sends messages about claims to instances, the own one included."""
+
+    def __init__(
+        self,
+        identity: identities.Identity,
+        directory: directories.Directory,
+        client: peer_clients.PeerClient,
+        registrar: registrars.Registrar,
+    ) -> None:
+        self._identity = identity
+        self._directory = directory
+        self._client = client
+        self._registrar = registrar
+
+    def send(
+        self, instance: str, message: Any, timeout: clock.Milliseconds
+    ) -> Any:
+        stamped = dataclasses.replace(
+            message, sender=self._identity.address(instance)
+        )
+        if instance == self._identity.instance:
+            return _answer_locally(stamped, self._registrar)
+        entry = self._directory.find_entry(instance)
+        if entry is None:
+            raise exceptions.PeerUnavailableError(
+                f"{instance} is not listed any more", sent=False, refused=False
+            )
+        return self._client.call(
+            peer_clients.Address.of(entry), stamped, timeout
+        )
+
+
+@functools.singledispatch
+def _answer_locally(message: Any, registrar: registrars.Registrar) -> Any:
+    """Answer a message to the own instance; others have no answer here."""
+    del message, registrar
+    return None
+
+
+@_answer_locally.register
+def _(
+    message: messages.ClaimRequest, registrar: registrars.Registrar
+) -> messages.ClaimReply:
+    return registrar.decide(message)
+
+
+@_answer_locally.register
+def _(
+    message: messages.ReleaseRequest, registrar: registrars.Registrar
+) -> messages.ReleaseReply:
+    return registrar.release(message)
+
+
+def build_claims(
+    loaded: settings.NodeSettings,
+    identity: identities.Identity,
+    time: clock.Clock,
+    ledger: views.ViewLedger,
+    directory: directories.Directory,
+    client: peer_clients.PeerClient,
+) -> ClaimParts:
+    """Return the parts that run non-idempotent requests at most once.
+
+    Parameters
+    ----------
+    loaded : settings.NodeSettings
+        Settings of the node.
+    identity : identities.Identity
+        Identity towards peers.
+    time : clock.Clock
+        Clock of the node.
+    ledger : views.ViewLedger
+        Live views of the own service.
+    directory : directories.Directory
+        Addresses of the registrars.
+    client : peer_clients.PeerClient
+        Sends messages.
+    """
+    limits = loaded.idempotency
+    source = _LedgerViews(ledger, time)
+    registrar = registrars.Registrar(identity.instance, time, source, limits)
+    messenger = _Messenger(identity, directory, client, registrar)
+    timeout = loaded.peers.call_timeout
+    claimer = claimers.Claimer(
+        source, messenger.send, limits.registrars, timeout
+    )
+    cache = answers.AnswerCache(time, limits.max_kept_bytes, limits.max_key_age)
+    guard = guards.Guard(cache, claimer, messenger.send, timeout)
+    return ClaimParts(registrar, claimer, guard)
--- a/cyclamenwell/node/executor.py
+++ b/cyclamenwell/node/executor.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import functools
+
 from cyclamenwell import answers
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -13,9 +16,10 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import messages
 from cyclamenwell.generated import settings
+from cyclamenwell.idempotency import answers as idempotency_answers
+from cyclamenwell.idempotency import guard as guards
 from cyclamenwell.keys import contexts
 from cyclamenwell.limits import limiter as limiters
-from cyclamenwell.membership import directory as directories
 from cyclamenwell.node import calls
 from cyclamenwell.node import cancellation as cancellations
 from cyclamenwell.node import headers
@@ -37,6 +41,14 @@
 }
 
 
+class _Visit:
+    """Stay of one admitted call at the target."""
+
+    def __init__(self, admission: tickets.Admission) -> None:
+        self.sent_at = admission.admitted_at
+        self.result = tickets.Result.NOT_SENT
+
+
 class Executor:
     """Checks calls for the own target and runs them there.
 
@@ -48,8 +60,6 @@
         Clock of the deadlines.
     store : stores.Store
         Configuration in force.
-    directory : directories.Directory
-        Instances, for the share of this node.
     gate : gates.Gate
         Gate of the target.
     limiter : limiters.FleetLimiter
@@ -67,22 +77,22 @@
         instance: settings.InstanceSettings,
         time: clock.Clock,
         store: stores.Store,
-        directory: directories.Directory,
         gate: gates.Gate,
         limiter: limiters.FleetLimiter,
         registry: contexts.ContextRegistry,
         target: targets.TargetClient,
         freshness: freshnesses.Freshness,
+        guard: guards.Guard,
     ) -> None:
         self._instance = instance
         self._time = time
         self._store = store
-        self._directory = directory
         self._gate = gate
         self._limiter = limiter
         self._registry = registry
         self._target = target
         self._freshness = freshness
+        self._guard = guard
         self.state = _State.STARTING
 
     def execute(
@@ -183,10 +193,6 @@
             f"organisation {call.organisation} may not call {call.service}",
         )
 
-    def _find_share(self) -> float:
-        listed = self._directory.list_service(self._instance.service)
-        return 1.0 / max(len(listed), 1)
-
     def _take_token(
         self,
         call: calls.Call,
@@ -197,7 +203,9 @@
         caller = self._find_caller(call)
         if caller is None:
             return self._pass_gate(call, caller, allowance, cancellation)
-        self._limiter.take(caller, self._find_share())
+        self._limiter.take(
+            caller.organisation, call.deadline - self._time.now()
+        )
         try:
             return self._pass_gate(call, caller, allowance, cancellation)
         except exceptions.RefusedError as refusal:
@@ -222,31 +230,76 @@
             ),
             cancellation,
         )
-        result = tickets.Result.NOT_SENT
-        sent_at = admission.admitted_at
+        visit = _Visit(admission)
+        run = functools.partial(self._run, call, allowance, cancellation, visit)
         try:
             # The key may have been withdrawn while the call waited.
             self._check_key(call)
-            if cancellation.cancelled:
-                raise exceptions.RefusedError(
-                    _Kind.ABANDONED, "the caller went away"
-                )
-            sent_at = self._time.now()
-            reply = self._run(call, allowance, cancellation)
-            result = tickets.Result.ANSWERED
-            if reply.answer.status >= 500:
-                result = tickets.Result.FAILED
-            return reply
+            return run() if call.route.idempotent else self._run_once(call, run)
+        finally:
+            duration = self._time.now() - visit.sent_at
+            self._gate.leave(
+                admission, tickets.Observation(visit.result, duration)
+            )
+
+    def _run_once(
+        self, call: calls.Call, run: Callable[[], calls.Reply]
+    ) -> calls.Reply:
+        """Run a non-idempotent call under a claim of its key."""
+        retries_left = 0
+
+        def run_claimed() -> idempotency_answers.KeptAnswer:
+            nonlocal retries_left
+            reply = run()
+            retries_left = reply.retries_left
+            return idempotency_answers.KeptAnswer(
+                reply.answer.status, reply.answer.headers, reply.answer.body
+            )
+
+        request = call.request
+        kept = self._guard.run(
+            idempotency_answers.RequestKey(
+                call.organisation, call.idempotency_key
+            ),
+            guards.compute_fingerprint(
+                call.service, request.method, request.path, request.body
+            ),
+            run_claimed,
+        )
+        answer = calls.HttpAnswer(kept.status, kept.headers, kept.body)
+        return calls.Reply(answer, retries_left)
+
+    def _run(
+        self,
+        call: calls.Call,
+        allowance: allowances.RetryAllowance,
+        cancellation: cancellations.Cancellation,
+        visit: _Visit,
+    ) -> calls.Reply:
+        """Run an admitted call and note what it shows of the target."""
+        if cancellation.cancelled:
+            raise exceptions.RefusedError(
+                _Kind.ABANDONED, "the caller went away"
+            )
+        if call.deadline <= self._time.now():
+            raise exceptions.RefusedError(
+                _Kind.DEADLINE_PASSED, "the deadline has passed"
+            )
+        visit.sent_at = self._time.now()
+        try:
+            reply = self._send(call, allowance, cancellation)
         except exceptions.RefusedError as refusal:
             # Other kinds are refusals by this node and show nothing of the
             # target.
-            result = _RESULTS.get(refusal.kind, tickets.Result.NOT_SENT)
+            visit.result = _RESULTS.get(refusal.kind, tickets.Result.NOT_SENT)
             raise
-        finally:
-            duration = self._time.now() - sent_at
-            self._gate.leave(admission, tickets.Observation(result, duration))
+        failed = reply.answer.status >= 500
+        visit.result = (
+            tickets.Result.FAILED if failed else tickets.Result.ANSWERED
+        )
+        return reply
 
-    def _run(
+    def _send(
         self,
         call: calls.Call,
         allowance: allowances.RetryAllowance,
--- a/cyclamenwell/node/handlers.py
+++ b/cyclamenwell/node/handlers.py
@@ -184,3 +184,74 @@
     """Return the instance list or its changes."""
     del connection
     return node.responder.answer_list(message)
+
+
+@_handle.register
+def _(
+    message: messages.ViewRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.ViewReply:
+    """Take a service peer's declaration and return the own one."""
+    del connection
+    if message.load is not None:
+        node.directory.note_load(message.load)
+    return node.ledger.answer_request(message, node.report_load())
+
+
+@_handle.register
+def _(
+    message: messages.LeaseRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.LeaseReply:
+    """Decide on a lease of share units."""
+    del connection
+    return node.limiter.grant(message)
+
+
+@_handle.register
+def _(
+    message: messages.GoodbyeRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.GoodbyeReply:
+    """Note that a peer is leaving or ends now."""
+    del connection
+    node.directory.note_goodbye(message.sender, message.state)
+    if message.state is enumerations.InstanceState.GONE:
+        node.ledger.note_goodbye(message.sender)
+    return messages.GoodbyeReply(incarnation=node.identity.incarnation)
+
+
+@_handle.register
+def _(
+    message: messages.ClaimRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.ClaimReply:
+    """Decide a claim of an idempotency key."""
+    del connection
+    return node.claims.registrar.decide(message)
+
+
+@_handle.register
+def _(
+    message: messages.ReleaseRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.ReleaseReply:
+    """Release a claim."""
+    del connection
+    return node.claims.registrar.release(message)
+
+
+@_handle.register
+def _(
+    message: messages.AnswerRequest,
+    node: parts.Parts,
+    connection: socket.socket,
+) -> messages.AnswerReply:
+    """Return the kept answer of a request that ran here."""
+    del connection
+    return node.claims.guard.answer_peer(message)
--- a/cyclamenwell/node/operations.py
+++ b/cyclamenwell/node/operations.py
@@ -41,6 +41,7 @@
             return _build_answer(405, _TEXT, b"only GET is allowed\n")
         if path == "/metrics":
             self._note_figures()
+            metrics.record_units(self._node.limiter.report_units())
             return _build_answer(200, _TEXT, metrics.render())
         if path == "/status":
             return _build_json(self._describe_status())
--- a/cyclamenwell/node/parts.py
+++ b/cyclamenwell/node/parts.py
@@ -13,8 +13,11 @@
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.generated import messages
 from cyclamenwell.generated import settings
+from cyclamenwell.limits import limiter as limiters
 from cyclamenwell.membership import directory as directories
+from cyclamenwell.membership import views
 from cyclamenwell.node import cancellation as cancellations
+from cyclamenwell.node import claims
 from cyclamenwell.node import executor as executors
 from cyclamenwell.peers import identity as identities
 
@@ -47,6 +50,12 @@
         Links to the neighbours.
     reader : readers.Reader
         Reads the platform.
+    ledger : views.ViewLedger
+        Live views of the own service.
+    limiter : limiters.FleetLimiter
+        Rates of the organisations.
+    claims : claims.ClaimParts
+        Runs non-idempotent requests at most once.
     executor : executors.Executor
         Runs calls at the own target.
     watcher : cancellations.DisconnectWatcher
@@ -63,6 +72,9 @@
     responder: responders.Responder
     disseminator: dissemination.Disseminator
     reader: readers.Reader
+    ledger: views.ViewLedger
+    limiter: limiters.FleetLimiter
+    claims: claims.ClaimParts
     executor: executors.Executor
     watcher: cancellations.DisconnectWatcher
 
--- a/cyclamenwell/telemetry/metrics.py
+++ b/cyclamenwell/telemetry/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import dataclasses
 import functools
 
@@ -13,9 +14,11 @@
     "ConfigurationFigures",
     "count_call",
     "count_platform_read",
+    "count_rate_refusal",
     "count_spread",
     "count_stale_answer",
     "note_configuration",
+    "record_units",
     "render",
 ]
 
@@ -68,6 +71,16 @@
     "Bytes of configuration messages and their replies, by direction.",
     ["direction"],
 )
+_rate_refusals = prometheus_client.Counter(
+    "cyclamenwell_rate_refusals",
+    "Requests refused at this node for want of a token, by organisation.",
+    ["organisation"],
+)
+_share_units = prometheus_client.Gauge(
+    "cyclamenwell_share_units",
+    "Millionths of an organisation's limit: held, borrowed or lent.",
+    ["organisation", "kind"],
+)
 _SPREAD_REQUESTS = frozenset(
     {
         "AnnounceRequest",
@@ -172,6 +185,25 @@
     return _calls.labels(service, refusal), _call_seconds.labels(service)
 
 
+def count_rate_refusal(organisation: str) -> None:
+    """Count a request that was refused for want of a token."""
+    _rate_refusals.labels(organisation).inc()
+
+
+def record_units(units: Mapping[str, tuple[int, int, int]]) -> None:
+    """Record the share units of a node.
+
+    Parameters
+    ----------
+    units : Mapping of str to tuple of int
+        Units held, borrowed and lent by organisation.
+    """
+    for organisation, (held, borrowed, lent) in units.items():
+        _share_units.labels(organisation, "held").set(held)
+        _share_units.labels(organisation, "borrowed").set(borrowed)
+        _share_units.labels(organisation, "lent").set(lent)
+
+
 def render() -> bytes:
     """Return all metrics in the text format of Prometheus."""
     return prometheus_client.generate_latest()
--- a/cyclamenwell/testing/builders.py
+++ b/cyclamenwell/testing/builders.py
@@ -24,6 +24,20 @@
     "find_free_ports",
 ]
 
+# Keys that are made sooner after the start than the largest difference between
+# clocks are refused.
+_SHORT_SKEW = """
+idempotency:
+  max_clock_skew: 100
+"""
+
+# A node has no share until the leases of an earlier process are over.
+_SHORT_LEASES = """
+limits:
+  lease_duration: 200
+  lease_margin: 20
+"""
+
 
 # Below the ports that systems give to outgoing connections, which could take a
 # port between its choice and its use.
@@ -152,7 +166,7 @@
     extra: str = "",
 ) -> str:
     """Return the settings of `build_settings` as text."""
-    return f"""\
+    text = f"""\
 instance:
   name: {entry.instance}
   service: {entry.service}
@@ -169,3 +183,8 @@
   url: http://127.0.0.1:{platform_port}
   start_delay: 100
 {extra}"""
+    if "limits:" not in extra:
+        text += _SHORT_LEASES
+    if "idempotency:" not in extra:
+        text += _SHORT_SKEW
+    return text
