--- a/cyclamenwell/load/figures.py
+++ b/cyclamenwell/load/figures.py
@@ -225,11 +225,15 @@
             tokens, last = buckets.get(service, (burst, one.at))
             gained = rate_per_second * (one.at - last) / 1000
             tokens = min(burst, tokens + gained)
+            # A refused request takes the token that was due to it, so that
+            # one unused token does not make all later refusals false ones.
+            is_due = tokens >= 1
+            left = max(tokens - 1, 0)
             if service == refuser:
-                buckets[service] = tokens, one.at
-                refused += tokens >= 1
+                buckets[service] = left if is_due else tokens, one.at
+                refused += is_due
                 break
-            buckets[service] = max(tokens - 1, 0), one.at
+            buckets[service] = left, one.at
     return refused
 
 
--- a/cyclamenwell/load/tests/test_figures.py
+++ b/cyclamenwell/load/tests/test_figures.py
@@ -89,7 +89,7 @@
     whole = [figures.Attempt(0, chain, "")] * 2
     beyond = [figures.Attempt(1, chain, "rate-limited")]
     deep_beyond = [figures.Attempt(2, ("deep",), "rate-limited")]
-    within = [figures.Attempt(600, chain, "rate-limited")]
+    within = [figures.Attempt(600, chain, "rate-limited")] * 3
     attempts = whole + beyond + deep_beyond + within
     # The burst of 2 is used up; after 600 ms at 2/s there is a token again.
     assert figures.count_refusals_within_rate(attempts, 2, 2) == 1
