Add soak runs of real processes under random faults

The new package starts nodes, targets and a platform stand-in, lets links fail by relays at the list's addresses, and checks records of targets and callers.

--- a/cyclamenwell/load/deployment.py
+++ b/cyclamenwell/load/deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -18,7 +19,13 @@
 from cyclamenwell.load import ports
 from cyclamenwell.load import processes
 
-__all__ = ["Deployment", "DeploymentError", "Member", "build_key"]
+__all__ = [
+    "Deployment",
+    "DeploymentError",
+    "Member",
+    "build_key",
+    "build_organisation",
+]
 
 _REGION = "r-1"
 _START_TIMEOUT = clock.Milliseconds(60_000)
@@ -61,6 +68,14 @@
     return f"cw_{organisation}_key"
 
 
+def build_organisation(organisation: str, *keys: str) -> dict[str, Any]:
+    """Return the document of an organisation with these keys in force."""
+    listed = [
+        {"digest": authenticator.compute_digest(key).hex()} for key in keys
+    ]
+    return {"organisation": organisation, "keys": listed}
+
+
 class Deployment:
     """Processes of one run.
 
@@ -127,8 +142,20 @@
             json.dumps(named),
         )
 
-    def start_node(self, member: Member) -> None:
-        """Start the node of an instance."""
+    def start_node(
+        self,
+        member: Member,
+        changes: Mapping[str, Mapping[str, Any]] | None = None,
+    ) -> None:
+        """Start the node of an instance.
+
+        Parameters
+        ----------
+        member : Member
+            The instance.
+        changes : Mapping of str to Mapping of str to object or None
+            Fields of settings that differ, by group.
+        """
         settings = {
             "instance": {
                 "name": member.instance,
@@ -148,6 +175,8 @@
             },
             "stop": {"linger": 0, "max_drain": _MAX_DRAIN.value},
         }
+        for group, fields in (changes or {}).items():
+            settings[group] = settings.get(group, {}) | dict(fields)
         path = self._group.directory / f"{member.instance}.yaml"
         path.write_text(yaml.safe_dump(settings), "utf-8")
         self._group.start(
@@ -188,20 +217,34 @@
 
     def publish_organisation(self, organisation: str, *keys: str) -> None:
         """Publish the keys in force of an organisation."""
-        listed = [
-            {"digest": authenticator.compute_digest(key).hex()} for key in keys
-        ]
         self.publish(
             f"organisation/{organisation}",
-            {"organisation": organisation, "keys": listed},
+            build_organisation(organisation, *keys),
         )
 
     def publish_fleet(self, *data_centres_out: str) -> None:
         """Publish which data centres are taken out."""
         self.publish("fleet", {"data_centres_out": list(data_centres_out)})
 
-    def publish_list(self) -> None:
-        """Publish the instance list."""
+    def set_platform_mode(self, mode: str) -> None:
+        """Set the platform ``up``, ``down`` or ``stale``."""
+        self._put(self._platform_port, "/control/mode", mode)
+
+    def publish_list(
+        self,
+        peer_ports: Mapping[str, int] | None = None,
+        leaving: Container[str] = (),
+    ) -> None:
+        """Publish the instance list.
+
+        Parameters
+        ----------
+        peer_ports : Mapping of str to int or None
+            Ports of relays, by instance, that stand before the peer ports.
+        leaving : container of str
+            Instances that are listed as leaving.
+        """
+        relays = peer_ports or {}
         entries = [
             {
                 "instance": member.instance,
@@ -210,8 +253,10 @@
                 "region": _REGION,
                 "host": ports.LOOPBACK,
                 "caller_port": member.caller_port,
-                "peer_port": member.peer_port,
-                "state": "serving",
+                "peer_port": relays.get(member.instance, member.peer_port),
+                "state": (
+                    "leaving" if member.instance in leaving else "serving"
+                ),
             }
             for member in self.members
         ]
--- /dev/null
+++ b/cyclamenwell/soak/__init__.py
@@ -0,0 +1,3 @@
+"""Long randomised runs of real processes that assert the invariants."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/cyclamenwell/soak/runner.py
@@ -0,0 +1,120 @@
+"""One soak run from start to end."""
+
+from __future__ import annotations
+
+import threading
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.load import processes
+from cyclamenwell.soak import callers as caller_threads
+from cyclamenwell.soak import fleet as fleets
+from cyclamenwell.soak import history as histories
+from cyclamenwell.soak import plans
+from cyclamenwell.soak import watch as watches
+from cyclamenwell.standin import target as targets
+
+__all__ = ["run_plan"]
+
+_STACK_BYTES = 256 * 1024  # A thread for each relayed connection.
+_LEAD = clock.Milliseconds(500)
+# A fault near the end may have to stop a node and start another one.
+_FAULT_TIMEOUT = clock.Milliseconds(45_000)
+
+
+def run_plan(plan: plans.Plan) -> histories.History:
+    """Carry out a plan and return what was seen.
+
+    Raises
+    ------
+    deployments.DeploymentError
+        If a process did not start.
+    """
+    threading.stack_size(_STACK_BYTES)
+    with processes.ProcessGroup() as group:
+        fleet = fleets.Fleet(group, plan)
+        try:
+            return _run(fleet)
+        finally:
+            fleet.close()
+
+
+def _run(fleet: fleets.Fleet) -> histories.History:
+    plan = fleet.plan
+    fleet.start_all()
+    fleet.start = fleets.read_time() + _LEAD.value
+    watch = watches.Watch(fleet)
+    watch.start()
+    faults = [
+        threading.Thread(target=_inject, args=(fault, fleet), daemon=True)
+        for fault in plan.faults
+    ]
+    for thread in faults:
+        thread.start()
+    callers = caller_threads.Callers(fleet)
+    if not callers.run():
+        fleet.errors.append("a caller did not end")
+    end = fleets.read_time() + _FAULT_TIMEOUT.value
+    for thread in faults:
+        thread.join(max(end - fleets.read_time(), 0) / 1000)
+        if thread.is_alive():
+            fleet.errors.append("a fault did not end")
+    return _collect(fleet, callers, watch)
+
+
+def _inject(fault: plans.Fault, fleet: fleets.Fleet) -> None:
+    fleet.wait_until(fault.at_ms)
+    if fleet.ended.is_set():
+        return
+    begin = fleets.read_time()
+    try:
+        kind, subjects, detail = fleets.apply_fault(fault, fleet)
+    except (exceptions.CyclamenwellError, OSError) as error:
+        fleet.errors.append(f"{fault}: {error}")
+        return
+    fleet.faults.append(
+        histories.FaultRecord(
+            kind=kind or "not-possible",
+            subjects=subjects,
+            begin=begin,
+            end=fleets.read_time(),
+            detail=detail,
+            whole_side=_cuts_off(fault),
+        )
+    )
+
+
+def _cuts_off(fault: plans.Fault) -> bool:
+    """Return whether instances are cut off from all others."""
+    return isinstance(fault, plans.CutLinks) and not fault.others
+
+
+def _collect(
+    fleet: fleets.Fleet,
+    callers: caller_threads.Callers,
+    watch: watches.Watch,
+) -> histories.History:
+    errors = tuple(fleet.find_errors())
+    runs = tuple(targets.RunRecord(**one) for one in fleet.read_records())
+    refusals = (
+        histories.FaultRecord("relay", (receiver,), at, at, "node not there")
+        for at, receiver in tuple(fleet.links.refusals)
+    )
+    return histories.History(
+        calls=tuple(callers.records),
+        runs=runs,
+        faults=(*fleet.faults, *refusals),
+        lives=fleet.list_lives(),
+        publications=tuple(fleet.publications),
+        polls=tuple(sorted(watch.polls, key=lambda poll: poll.at)),
+        stalls=watch.list_stalls(),
+        bursts=plans.BURSTS,
+        cold_limit=fleets.COLD_LIMIT,
+        retries=_RETRIES,
+        peer_chunks=fleet.links.chunks,
+        peer_leaks=tuple(sorted(fleet.links.leaks)),
+        errors=errors,
+    )
+
+
+_RETRIES = 3  # Default of the fleet's document.
--- a/cyclamenwell/standin/target.py
+++ b/cyclamenwell/standin/target.py
@@ -127,6 +127,8 @@
     result : str
         ``complete``, ``failed``, ``stopped`` (deadline passed or caller gone)
         or ``shed``, which is the only one of a request that has not run.
+    saw_key : bool
+        Whether the request held the key of a caller.
     """
 
     service: str
@@ -137,6 +139,7 @@
     start: float
     end: float
     result: str
+    saw_key: bool = False
 
 
 class _Slots:
@@ -395,6 +398,7 @@
             start=start.value,
             end=_read_time().value,
             result=result,
+            saw_key=_holds_key(request),
         )
         with self._lock:
             if len(self._records) < _MAX_RECORDS:
@@ -452,6 +456,14 @@
     return clock.Milliseconds(time.monotonic_ns() / 1e6)
 
 
+def _holds_key(request: calls.HttpRequest) -> bool:
+    """Return whether any header holds a caller's key."""
+    return any(
+        header.name == headers.AUTHORIZATION or "Bearer " in header.value
+        for header in request.headers
+    )
+
+
 def _read_timeout(request: calls.HttpRequest) -> clock.Milliseconds:
     given = request.find_header(headers.TIMEOUT_MS)
     return clock.Milliseconds(int(given)) if given else _DEFAULT_TIMEOUT
