--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format generate check-generated demo bench experiments
+.PHONY: test lint format generate check-generated demo bench experiments \
+	soak
 
 RESULTS ?= build/experiments
 
@@ -40,3 +41,11 @@
 experiments: $(STAMP)
 	$(BIN)/python -m cyclamenwell.load experiment --output $(RESULTS) \
 		$(EXPERIMENTS)
+
+# The same SEED, DURATION (seconds) and NODES give the same load and faults.
+SEED ?= 1
+DURATION ?= 60
+NODES ?= 14
+soak: $(STAMP)
+	$(BIN)/python -m cyclamenwell.soak --seed $(SEED) \
+		--duration $(DURATION) --nodes $(NODES) --output build/soak
--- a/cyclamenwell/soak/checks.py
+++ b/cyclamenwell/soak/checks.py
@@ -216,6 +216,10 @@
             keyed=True,
         )
     )
+    tally.looked += sum(
+        call.sent > withdrawn.get(call.key, math.inf)
+        for call in index.history.calls
+    )
     for run in index.ran:
         call = index.calls.get(run.request_id)
         if call is None or call.open_to_all or call.key not in withdrawn:
@@ -223,7 +227,6 @@
         at = withdrawn[call.key]
         if run.start < at:
             continue
-        tally.looked += 1
         strict, allowed = find(at, run.target)
         if run.start <= strict:
             continue
@@ -414,10 +417,10 @@
     find = functools.cache(index.bounds.find_deadline)
     for run in index.ran:
         data_centre = places.get(run.target)
+        tally.looked += _is_any_out(versions, run.start)
         out_at = _find_out_since(versions, data_centre, run.start)
         if out_at is None:
             continue
-        tally.looked += 1
         call = index.calls.get(run.request_id)
         keyed = call is not None and not call.open_to_all
         strict, allowed = find(
@@ -455,6 +458,14 @@
     )
 
 
+def _is_any_out(versions: list[histories.Publication], at: float) -> bool:
+    """Return whether a data centre has to be without new work at a time."""
+    return any(
+        _find_out_since(versions, name, at - times.IN_FORCE_MS) is not None
+        for name in {name for one in versions for name in one.out}
+    )
+
+
 def _find_out_since(
     versions: list[histories.Publication],
     data_centre: str | None,
@@ -478,10 +489,13 @@
             continue
         latest = life.stop_sent + times.LEAVING_MS + times.QUEUE_WAIT_MS
         latest += index.bounds.sum_stalls(life.stop_sent, latest, life.instance)
+        tally.looked += sum(
+            run.service == life.service and latest < run.start < life.ended
+            for run in index.ran
+        )
         for run in index.at_target.get(life.instance, ()):
             if not life.stop_sent < run.start < life.ended:
                 continue
-            tally.looked += 1
             if run.start > latest:
                 tally.fail(
                     f"target {run.target} got call {run.request_id} "
@@ -557,16 +571,32 @@
             )
         for call in index.history.calls:
             during = call.sent <= life.ended and call.ended >= life.stop_sent
-            if during and not _is_disturbed(index, life, call):
-                tally.looked += 1
-                if _was_cut(call, life):
-                    tally.fail(
-                        f"call {call.request_id} ended as {call.outcome} "
-                        f"{call.kind} while node {life.instance} stopped",
-                        index.trace(
-                            life, at=call.ended, request_id=call.request_id
-                        ),
-                    )
+            if not during or _may_be_cut(index, life, call):
+                continue
+            tally.looked += 1
+            if _was_cut(call, life):
+                tally.fail(
+                    f"call {call.request_id} ended as {call.outcome} "
+                    f"{call.kind} while node {life.instance} stopped",
+                    index.trace(
+                        life, at=call.ended, request_id=call.request_id
+                    ),
+                )
+
+
+def _may_be_cut(
+    index: _Index, life: histories.NodeLife, call: histories.CallRecord
+) -> bool:
+    """Return whether another fault can have cut a call.
+
+    Notes
+    -----
+    Whatever happens elsewhere, the entry node answers before it stops.
+    """
+    unanswered = call.outcome in (_Outcome.BROKEN, _Outcome.TIMEOUT)
+    if unanswered and call.entry == life.instance:
+        return False
+    return _is_disturbed(index, life, call)
 
 
 def _is_disturbed(
--- a/cyclamenwell/soak/fleet.py
+++ b/cyclamenwell/soak/fleet.py
@@ -36,7 +36,8 @@
     "further_path": "/further/1",
 }
 _NODE_SETTINGS = {
-    "stop": {"linger": 1_500, "max_drain": 10_000},
+    # Long enough to see whether a leaving target still gets work.
+    "stop": {"linger": 5_000, "max_drain": 10_000},
     # A reader that waits longer would not learn of the end of an outage
     # within the bound of a short run.
     "platform": {"max_backoff": 1_000},
@@ -196,9 +197,18 @@
             target=self._open_relay, args=(member,), daemon=True
         ).start()
 
-    def end_node(self, name: str, number: int) -> float | None:
+    def end_node(self, name: str, number: int, delay: float) -> float | None:
         """End a node by a signal and wait until it has ended.
 
+        Parameters
+        ----------
+        name : str
+            The instance.
+        number : int
+            SIGTERM or SIGKILL.
+        delay : float
+            Milliseconds after which the list shows a leaving node as such.
+
         Returns
         -------
         float or None
@@ -214,6 +224,8 @@
                 self._leaving.add(name)
                 self._lives[name][-1] = life
             self._signal(name, number)
+        if graceful:
+            self._publish_list_after(delay)
         try:
             status = self._group.wait(f"node-{name}", _STOP_TIMEOUT)
         except subprocess.TimeoutExpired:
@@ -226,13 +238,14 @@
             self._lives[name][-1] = dataclasses.replace(
                 life, ended=ended, status=status if graceful else None
             )
-            self._leaving.discard(name)
         return ended
 
     def replace_node(self, name: str, replacement: str, delay: float) -> None:
         """Start a replacement, which is listed after a delay."""
         if replacement == name:
             self.start_node(name)
+            self._leaving.discard(name)
+            self._publish_list_after(delay)
             return
         member = self._members[replacement]
         self._start_target(member)
@@ -241,11 +254,7 @@
         with self._lock:
             self._listed.remove(name)
             self._listed.append(replacement)
-            self._publish_list()
-
-    def list_leaving(self) -> None:
-        """Publish the list with the nodes that are leaving."""
-        with self._lock:
+            self._leaving.discard(name)
             self._publish_list()
 
     def pause_node(self, name: str) -> bool:
@@ -336,6 +345,11 @@
         with contextlib.suppress(ProcessLookupError):
             os.kill(self._group.find_pid(f"node-{name}"), number)
 
+    def _publish_list_after(self, delay: float) -> None:
+        self.ended.wait(delay / 1000)
+        with self._lock:
+            self._publish_list()
+
     def _publish_list(self) -> None:
         self._deployment.members = [self._members[n] for n in self._listed]
         self._deployment.publish_list(
@@ -465,10 +479,11 @@
 def _end_and_replace(
     fault: plans.StopNode, fleet: Fleet, number: int, kind: str
 ) -> tuple:
-    if fleet.end_node(fault.instance, number) is None:
+    delay = fault.list_delay_ms
+    if fleet.end_node(fault.instance, number, delay) is None:
         return "", (), ""
     fleet.ended.wait(fault.duration_ms / 1000)
-    fleet.replace_node(fault.instance, fault.replacement, fault.list_delay_ms)
+    fleet.replace_node(fault.instance, fault.replacement, delay)
     return kind, (fault.instance,), f"replaced by {fault.replacement}"
 
 
--- a/cyclamenwell/soak/plans.py
+++ b/cyclamenwell/soak/plans.py
@@ -54,7 +54,7 @@
 _REPEAT_PART = 0.5
 _GONE_PART = 0.05
 _GONE_AFTER_MS = (5.0, 20.0, 60.0)
-_WITHDRAWN_PART = 0.25
+_WITHDRAWN_PART = 0.15
 # Faults begin early enough for their bounds to pass before the end.
 _FIRST_FAULT_PART = 0.05
 _LAST_CHANGE_PART = 0.35
@@ -62,6 +62,7 @@
 _LAST_END_PART = 0.85
 _FAULTS_PER_SECOND = 0.8
 _MAX_NODES_DISTURBED = 2
+_RESTART_MS = 12_000.0  # For a node to linger, to stop and to start again.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -475,8 +476,7 @@
     def _end(self, kind: type[StopNode]) -> Fault | None:
         at_ms = self._choose_time()
         length = self._choose_length(at_ms, 200, 3_000)
-        # An ended node also needs time to stop and to start again.
-        name = self._choose_node(at_ms, length + 10_000)
+        name = self._choose_node(at_ms, length + _RESTART_MS)
         if name is None:
             return None
         replacement = name
