End soak runs without leftovers and load targets harder

A replacement could start after an interrupted run had ended its processes. Nothing starts any more once the run ends.

--- a/cyclamenwell/soak/callers.py
+++ b/cyclamenwell/soak/callers.py
@@ -21,7 +21,7 @@
 __all__ = ["Callers", "read_answer"]
 
 _Outcome = histories.Outcome
-_THREADS = 64
+_THREADS = 128
 # A caller waits beyond the deadline, to tell a late answer from none.
 _MARGIN = clock.Milliseconds(1_500)
 _MAX_ENTRIES = 3  # Nodes that a caller tries while connections are refused.
--- a/cyclamenwell/soak/checks.py
+++ b/cyclamenwell/soak/checks.py
@@ -574,7 +574,7 @@
             if not during or _may_be_cut(index, life, call):
                 continue
             tally.looked += 1
-            if _was_cut(call, life):
+            if _was_cut(call):
                 tally.fail(
                     f"call {call.request_id} ended as {call.outcome} "
                     f"{call.kind} while node {life.instance} stopped",
@@ -587,22 +587,18 @@
 def _may_be_cut(
     index: _Index, life: histories.NodeLife, call: histories.CallRecord
 ) -> bool:
-    """Return whether another fault can have cut a call.
+    """Return whether something else can have cut a call.
 
     Notes
     -----
-    Whatever happens elsewhere, the entry node answers before it stops.
+    The entry node answers before it stops, whatever happens elsewhere.
     """
-    unanswered = call.outcome in (_Outcome.BROKEN, _Outcome.TIMEOUT)
-    if unanswered and call.entry == life.instance:
-        return False
-    return _is_disturbed(index, life, call)
-
-
-def _is_disturbed(
-    index: _Index, life: histories.NodeLife, call: histories.CallRecord
-) -> bool:
-    """Return whether another fault can have cut a call."""
+    if index.bounds.sum_stalls(call.sent, call.ended, call.entry):
+        return True
+    own = call.entry == life.instance
+    answered = call.outcome not in (_Outcome.BROKEN, _Outcome.TIMEOUT)
+    if own and not (answered and _was_cut(call)):
+        return index.bounds.just_woke(call.entry, call.sent)
     return any(
         fault.kind in _DISTURBING
         and not (fault.kind == "stop" and life.instance in fault.subjects)
@@ -611,12 +607,12 @@
     )
 
 
-def _was_cut(call: histories.CallRecord, life: histories.NodeLife) -> bool:
-    if call.outcome == _Outcome.BROKEN:
+def _was_cut(call: histories.CallRecord) -> bool:
+    if call.outcome in (_Outcome.BROKEN, _Outcome.TIMEOUT):
         return True
-    if call.outcome == _Outcome.TIMEOUT:
-        return call.entry == life.instance
-    return call.outcome == _Outcome.UNKNOWN and call.kind in _CUT_KINDS
+    # A failure at a deeper service has its name after its kind.
+    kind, _, _ = call.kind.partition(" at ")
+    return call.outcome != _Outcome.NOT_RUN and kind in _CUT_KINDS
 
 
 def _check_in_force(index: _Index, tally: _Tally) -> None:
--- a/cyclamenwell/soak/fleet.py
+++ b/cyclamenwell/soak/fleet.py
@@ -27,7 +27,7 @@
 COLD_LIMIT = 4
 CALL_TIMEOUT = clock.Milliseconds(2_000)
 _TARGET_PLAN = {
-    "service_ms": 15.0,
+    "service_ms": 30.0,
     "variation": 0.3,
     "slots": 12,
     "max_queued": 24,
@@ -91,15 +91,7 @@
         """Start everything and wait until every node serves."""
         plan = self.plan
         self._deployment.start_platform()
-        self._deployment.choose_members(
-            (place.instance, place.service, place.data_centre)
-            for place in (*plan.places, *plan.replacements)
-        )
-        self._members = {m.instance: m for m in self._deployment.members}
-        for member in self._members.values():
-            self._relays[member.instance] = relays.Relay(
-                member.instance, member.peer_port, self.links
-            )
+        self.choose_ports()
         first = [self._members[place.instance] for place in plan.places]
         self._deployment.members = first
         self._listed = [member.instance for member in first]
@@ -116,10 +108,27 @@
             self.start_node(member.instance)
         self._deployment.wait_for_nodes(len(self._versions))
 
+    def choose_ports(self) -> None:
+        """Choose the ports of all instances and make their relays."""
+        self._deployment.choose_members(
+            (place.instance, place.service, place.data_centre)
+            for place in (*self.plan.places, *self.plan.replacements)
+        )
+        self._members = {m.instance: m for m in self._deployment.members}
+        for member in self._members.values():
+            self._relays[member.instance] = relays.Relay(
+                member.instance, member.peer_port, self.links
+            )
+
     def close(self) -> None:
-        """Continue paused nodes and close relays; processes end later."""
-        self.ended.set()
+        """Continue paused nodes and close relays; processes end later.
+
+        Notes
+        -----
+        No process starts after this, so that none outlives the group.
+        """
         with self._lock:
+            self.ended.set()
             for name in tuple(self._paused):
                 self._signal(name, signal.SIGCONT)
         self.links.close()
@@ -191,6 +200,8 @@
             name, member.service, member.data_centre, read_time()
         )
         with self._lock:
+            if self.ended.is_set():
+                return
             self._deployment.start_node(member, _NODE_SETTINGS)
             self._lives.setdefault(name, []).append(life)
         threading.Thread(
@@ -329,6 +340,8 @@
     def _start_target(self, member: deployments.Member) -> None:
         further = plans.FURTHER[member.service]
         with self._lock:
+            if self.ended.is_set():
+                return
             self._deployment.start_target(
                 member, _TARGET_PLAN | {"further_service": further}
             )
--- a/cyclamenwell/soak/runner.py
+++ b/cyclamenwell/soak/runner.py
@@ -4,6 +4,8 @@
 
 import threading
 
+import urllib3
+
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.load import processes
@@ -20,6 +22,12 @@
 _LEAD = clock.Milliseconds(500)
 # A fault near the end may have to stop a node and start another one.
 _FAULT_TIMEOUT = clock.Milliseconds(45_000)
+_RETRIES = 3  # Default of the fleet's document.
+_FAILURES = (
+    exceptions.CyclamenwellError,
+    urllib3.exceptions.HTTPError,
+    OSError,
+)
 
 
 def run_plan(plan: plans.Plan) -> histories.History:
@@ -69,7 +77,7 @@
     begin = fleets.read_time()
     try:
         kind, subjects, detail = fleets.apply_fault(fault, fleet)
-    except (exceptions.CyclamenwellError, OSError) as error:
+    except _FAILURES as error:
         fleet.errors.append(f"{fault}: {error}")
         return
     fleet.faults.append(
@@ -115,6 +123,3 @@
         peer_leaks=tuple(sorted(fleet.links.leaks)),
         errors=errors,
     )
-
-
-_RETRIES = 3  # Default of the fleet's document.
--- a/cyclamenwell/soak/tests/builders.py
+++ b/cyclamenwell/soak/tests/builders.py
@@ -8,6 +8,7 @@
 from cyclamenwell.standin import target as targets
 
 __all__ = [
+    "IdleGroup",
     "build_call",
     "build_fault",
     "build_history",
@@ -103,6 +104,22 @@
     return histories.History(**fields | parts)
 
 
+class IdleGroup:
+    """Group of processes that starts nothing and notes what it should."""
+
+    def __init__(self, directory: Any) -> None:
+        self.directory = directory
+        self.started: list[str] = []
+
+    def start(self, name: str, *_: str) -> None:
+        """Note a process."""
+        self.started.append(name)
+
+    def find_pid(self, name: str) -> int:
+        """Return no process id, as nothing runs."""
+        raise ProcessLookupError(name)
+
+
 _BREAKING = """
 from cyclamenwell.configuration import store
 from cyclamenwell.node import headers
--- a/cyclamenwell/soak/tests/test_soak.py
+++ b/cyclamenwell/soak/tests/test_soak.py
@@ -2,8 +2,11 @@
 
 import collections
 
+import pytest
+
 from cyclamenwell import clock
 from cyclamenwell.soak import checks
+from cyclamenwell.soak import fleet as fleets
 from cyclamenwell.soak import plans
 from cyclamenwell.soak import report
 from cyclamenwell.soak import runner
@@ -30,6 +33,19 @@
     assert len(kinds) >= 10
 
 
+@pytest.mark.parametrize("closed", [False, True])
+def test_no_process_starts_after_the_end(tmp_path, closed):
+    """Guards against replacements that outlive an interrupted run."""
+    group = builders.IdleGroup(tmp_path)
+    fleet = fleets.Fleet(group, plans.build_plan(SEED, DURATION, NODES))
+    fleet.choose_ports()
+    if closed:
+        fleet.close()
+    fleet.start_node("meters-1")
+    fleet.close()
+    assert group.started == ([] if closed else ["node-meters-1"])
+
+
 def test_everything_holds_under_faults():
     """Guards against violations of the requirements of the design page."""
     results, text = run_soak(SEED)
