--- a/cyclamenwell/soak/checks.py
+++ b/cyclamenwell/soak/checks.py
@@ -652,25 +652,20 @@
 
 
 def _check_no_reverting(index: _Index, tally: _Tally) -> None:
-    highest: dict[tuple[str, int, str], int] = {}
+    highest: dict[tuple[str, int], dict[str, int]] = {}
     for poll in index.history.polls:
-        for name, version in poll.versions.items():
+        process = (poll.instance, poll.incarnation)
+        known = highest.setdefault(process, {})
+        for name in {*known, *poll.versions}:
             tally.looked += 1
-            place = (poll.instance, poll.incarnation, name)
-            if version < highest.get(place, 0):
+            version = poll.versions.get(name, 0)
+            if version < known.get(name, 0):
                 tally.fail(
                     f"node {poll.instance} went back from version "
-                    f"{highest[place]} to {version} of {name}",
-                    index.trace(poll, at=poll.at),
-                )
-            highest[place] = max(version, highest.get(place, 0))
-        for (instance, incarnation, name), version in highest.items():
-            same = (instance, incarnation) == (poll.instance, poll.incarnation)
-            if same and name not in poll.versions:
-                tally.fail(
-                    f"node {poll.instance} lost {name}, version {version}",
+                    f"{known[name]} to {version} of {name}",
                     index.trace(poll, at=poll.at),
                 )
+            known[name] = max(version, known.get(name, 0))
 
 
 def _check_errors(index: _Index, tally: _Tally) -> None:
