Keep ports of late replacements and a valid start delay

A replacement found its port taken by another program 30 s after it was chosen. Bound sockets now keep all ports of a run. start_delay is 10 ms, which also holds where the setting has a lower bound above 0.

--- a/cyclamenwell/load/deployment.py
+++ b/cyclamenwell/load/deployment.py
@@ -171,7 +171,7 @@
             "target": {"port": member.target_port},
             "platform": {
                 "url": f"http://{ports.LOOPBACK}:{self._platform_port}",
-                "start_delay": 0,
+                "start_delay": 10,
             },
             "stop": {"linger": 0, "max_drain": _MAX_DRAIN.value},
         }
--- a/cyclamenwell/soak/fleet.py
+++ b/cyclamenwell/soak/fleet.py
@@ -42,6 +42,14 @@
     # within the bound of a short run.
     "platform": {"max_backoff": 1_000},
 }
+_PORT_FIELDS = (
+    "caller_port",
+    "peer_port",
+    "target_side_port",
+    "operations_port",
+    "target_port",
+    "control_port",
+)
 _START_TIMEOUT = clock.Milliseconds(60_000)
 _STOP_TIMEOUT = clock.Milliseconds(30_000)
 _POLL = clock.Milliseconds(20)
@@ -71,6 +79,7 @@
         self._deployment = deployments.Deployment(group)
         self._lock = threading.RLock()
         self._relays: dict[str, relays.Relay] = {}
+        self._reservations: list[socket.socket] = []
         self._members: dict[str, deployments.Member] = {}
         self._with_target: list[str] = []
         self._listed: list[str] = []
@@ -115,6 +124,12 @@
             for place in (*self.plan.places, *self.plan.replacements)
         )
         self._members = {m.instance: m for m in self._deployment.members}
+        # Another program must not take a port before a late replacement does.
+        self._reservations = [
+            relays.reserve_port(getattr(member, name))
+            for member in self._members.values()
+            for name in _PORT_FIELDS
+        ]
         for member in self._members.values():
             self._relays[member.instance] = relays.Relay(
                 member.instance, member.peer_port, self.links
@@ -132,7 +147,7 @@
             for name in tuple(self._paused):
                 self._signal(name, signal.SIGCONT)
         self.links.close()
-        for one in self._relays.values():
+        for one in (*self._relays.values(), *self._reservations):
             one.close()
 
     def wait_until(self, at_ms: float) -> None:
--- a/cyclamenwell/soak/relay.py
+++ b/cyclamenwell/soak/relay.py
@@ -16,7 +16,15 @@
 from cyclamenwell.load import ports
 from cyclamenwell.peers import wire
 
-__all__ = ["CUT", "BLACK_HOLE", "DELAY", "LinkState", "Links", "Relay"]
+__all__ = [
+    "CUT",
+    "BLACK_HOLE",
+    "DELAY",
+    "LinkState",
+    "Links",
+    "Relay",
+    "reserve_port",
+]
 
 CUT = "cut"
 BLACK_HOLE = "black-hole"
@@ -162,10 +170,7 @@
         self._lock = threading.Lock()
         self._open: dict[socket.socket, str] = {}
         self._listener: socket.socket | None = None
-        # A bound socket keeps the port while no listener refuses connections.
-        self._reservation = socket.socket()
-        self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._reservation.bind((ports.LOOPBACK, 0))
+        self._reservation = reserve_port()
         self.port = self._reservation.getsockname()[1]
         links.watch(self)
 
@@ -288,6 +293,26 @@
                 drain.sendall(data)
 
 
+def reserve_port(port: int = 0) -> socket.socket:
+    """Keep a port of loopback while no process listens on it.
+
+    Parameters
+    ----------
+    port : int
+        Port, 0 for any free one.
+
+    Returns
+    -------
+    socket.socket
+        Bound socket; a listener with SO_REUSEADDR may use the port, and until
+        there is one, connections are refused.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((ports.LOOPBACK, port))
+    return reservation
+
+
 def _shut_down(connection: socket.socket) -> None:
     with contextlib.suppress(OSError):
         connection.shutdown(socket.SHUT_RDWR)
