Do not call a request not run after an attempt that may have run

The dispatcher raised the failure of the last attempt, so a retry that was refused hid that an earlier attempt had an unknown outcome. The failure of the last attempt that may have run the call now goes to the caller. A test with a breaking and a shedding target fails before the change and passes after it; that this was the cause of the two violations has no trace.

--- a/cyclamenwell/node/dispatcher.py
+++ b/cyclamenwell/node/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cyclamenwell import answers
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import store as stores
@@ -23,6 +24,7 @@
 __all__ = ["Dispatcher"]
 
 _Kind = enumerations.ErrorKind
+_Outcome = enumerations.Outcome
 _MAX_RATE_LIMITED = 2  # A second instance may have tokens left; no third.
 
 
@@ -102,12 +104,14 @@
         Raises
         ------
         exceptions.RefusedError
-            With the failure of the last attempt.
+            With the failure of the last attempt that may have run the call,
+            or else of the last attempt.
         """
         self._budget.earn(self._store.snapshot.fleet.retry_ratio)
         self._guard.check(call.service, call.organisation, call.importance)
         tried: set[str] = set()
         rate_limited = 0
+        may_have_run: exceptions.RefusedError | None = None
         entry = self._choose(call, tried)
         while True:
             tried.add(entry.instance)
@@ -116,12 +120,16 @@
             except exceptions.RefusedError as refusal:
                 last = refusal
             rate_limited += last.kind is _Kind.RATE_LIMITED
+            if answers.ANSWERS[last.kind].outcome is _Outcome.UNKNOWN:
+                may_have_run = last
             following = None
             if rate_limited < _MAX_RATE_LIMITED and not cancellation.cancelled:
                 following = self._plan_retry(call, last, tried, allowance)
             if following is None:
-                last.retried = last.retried or len(tried) > 1
-                raise last
+                # "Not run" has to hold for every attempt, not just the last.
+                failure = may_have_run or last
+                failure.retried = failure.retried or len(tried) > 1
+                raise failure
             entry = following
 
     def _choose(
--- a/cyclamenwell/tests/test_retry_chain.py
+++ b/cyclamenwell/tests/test_retry_chain.py
@@ -47,3 +47,21 @@
     assert runs == {"tally": 1, "meters": 1}
     assert 1 < failing.count <= 1 + RETRIES
     fleet.stop()
+
+
+@pytest.mark.parametrize("entry", ["billing-1", "billing-2"])
+def test_refused_retry_does_not_hide_that_the_request_may_have_run(entry):
+    """Guards against "not-run" after a first attempt that reached a target.
+
+    The entry node decides which target comes first; the outcome is the same.
+    """
+    closing = builders.FailingTarget(closes=True)
+    shedding = builders.FailingTarget(closes=False)
+    fleet = builders.build_fleet("billing")
+    for name, target in (("billing-1", closing), ("billing-2", shedding)):
+        fleet.add(name, "billing", target_port=builders.serve(target).port)
+    fleet.start()
+    response = fleet.call(entry, "billing", "/accounts/7", builders.KEY)
+    assert (closing.count, shedding.count) == (1, 1)
+    assert response.headers["cyclamenwell-outcome"] == "unknown"
+    fleet.stop()
