--- a/cyclamenwell/configuration/snapshot.py
+++ b/cyclamenwell/configuration/snapshot.py
@@ -11,9 +11,32 @@
 from cyclamenwell.documents import parser
 from cyclamenwell.generated import documents
 
-__all__ = ["EMPTY", "KeyOwner", "Snapshot", "build_snapshot"]
+__all__ = [
+    "EMPTY",
+    "GROUPS",
+    "GROUP_DIGEST_BYTES",
+    "KeyOwner",
+    "Snapshot",
+    "build_snapshot",
+    "find_group",
+]
 
 KEY_IDENTIFIER_BYTES = 8
+GROUPS = 64  # About 30 of 2,000 documents are compared after a difference.
+GROUP_DIGEST_BYTES = 8
+_SERVICE = "service"
+_ORGANISATION = "organisation/"
+_FLEET = "fleet"
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=GROUP_DIGEST_BYTES)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def find_group(name: str) -> int:
+    """Return the group in which a document is compared with neighbours."""
+    return _hash(name) % GROUPS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +75,9 @@
         Organisations by key identifier.
     fleet : documents.FleetDocument
         Settings of the whole fleet.
+    groups : tuple of int
+        For each group, the exclusive or of the hashes of names and versions,
+        which a change updates without reading the other documents.
     """
 
     parsed: Mapping[str, parser.ParsedDocument]
@@ -59,12 +85,19 @@
     key_owners: Mapping[bytes, KeyOwner]
     identifiers: Mapping[bytes, str]
     fleet: documents.FleetDocument
+    groups: tuple[int, ...]
+
+    @functools.cached_property
+    def group_digests(self) -> bytes:
+        """Digests of all groups, one after the other."""
+        return b"".join(
+            group.to_bytes(GROUP_DIGEST_BYTES, "big") for group in self.groups
+        )
 
     @functools.cached_property
     def digest(self) -> bytes:
-        """SHA-256 over the names and versions in force, 32 bytes."""
-        lines = sorted(f"{d.name} {d.version}" for d in self.parsed.values())
-        return hashlib.sha256("\n".join(lines).encode()).digest()
+        """SHA-256 over the digests of all groups, 32 bytes."""
+        return hashlib.sha256(self.group_digests).digest()
 
     @functools.cached_property
     def data_centres_out(self) -> frozenset[str]:
@@ -77,38 +110,104 @@
         return 0 if document is None else document.version
 
 
-def build_snapshot(parsed: dict[str, parser.ParsedDocument]) -> Snapshot:
+def build_snapshot(
+    parsed: dict[str, parser.ParsedDocument], before: Snapshot | None = None
+) -> Snapshot:
     """Build the tables that calls look up.
 
     Parameters
     ----------
     parsed : dict of str to parser.ParsedDocument
         Documents in force by name; the snapshot keeps the dictionary.
+    before : Snapshot or None
+        Snapshot that this one replaces, if any.
 
     Returns
     -------
     Snapshot
         The snapshot.
     """
-    services: dict[str, documents.ServiceDocument] = {}
+    earlier = before or EMPTY
+    changed = tuple(
+        document
+        for name, document in parsed.items()
+        if earlier.parsed.get(name) is not document
+    )
+    return Snapshot(
+        parsed=_freeze(parsed),
+        services=_freeze(_update_services(earlier, changed)),
+        **_update_keys(earlier, changed, parsed),
+        fleet=_update_fleet(earlier, changed),
+        groups=_update_groups(earlier, changed),
+    )
+
+
+_Documents = tuple[parser.ParsedDocument, ...]
+
+
+def _update_services(
+    earlier: Snapshot, changed: _Documents
+) -> dict[str, documents.ServiceDocument]:
+    services = dict(earlier.services)
+    for document in changed:
+        kind, _, service = document.name.partition("/")
+        if kind != _SERVICE:
+            continue
+        if isinstance(document.content, documents.ServiceDocument):
+            services[service] = document.content
+        else:
+            services.pop(service, None)
+    return services
+
+
+def _update_fleet(
+    earlier: Snapshot, changed: _Documents
+) -> documents.FleetDocument:
+    for document in changed:
+        if isinstance(document.content, documents.FleetDocument):
+            return document.content
+        if document.name == _FLEET:
+            return documents.FleetDocument()
+    return earlier.fleet
+
+
+def _update_keys(
+    earlier: Snapshot,
+    changed: _Documents,
+    parsed: dict[str, parser.ParsedDocument],
+) -> dict[str, Mapping]:
+    """Build the key tables anew if an organisation changed.
+
+    Notes
+    -----
+    A key may be listed by two organisations. All documents are read then, so
+    that the owner does not depend on the order in which they arrived.
+    """
+    if not any(d.name.startswith(_ORGANISATION) for d in changed):
+        return {
+            "key_owners": earlier.key_owners,
+            "identifiers": earlier.identifiers,
+        }
     owners: dict[bytes, KeyOwner] = {}
-    fleet = documents.FleetDocument()
     for document in parsed.values():
-        content = document.content
-        if isinstance(content, documents.ServiceDocument):
-            services[content.service] = content
-        elif isinstance(content, documents.OrganisationDocument):
-            _add_keys(owners, content)
-        elif isinstance(content, documents.FleetDocument):
-            fleet = content
+        if isinstance(document.content, documents.OrganisationDocument):
+            _add_keys(owners, document.content)
     identifiers = {o.identifier: o.organisation for o in owners.values()}
-    return Snapshot(
-        _freeze(parsed),
-        _freeze(services),
-        _freeze(owners),
-        _freeze(identifiers),
-        fleet,
-    )
+    return {
+        "key_owners": _freeze(owners),
+        "identifiers": _freeze(identifiers),
+    }
+
+
+def _update_groups(earlier: Snapshot, changed: _Documents) -> tuple[int, ...]:
+    groups = list(earlier.groups)
+    for document in changed:
+        group = find_group(document.name)
+        old = earlier.parsed.get(document.name)
+        if old is not None:
+            groups[group] ^= _hash(f"{old.name} {old.version}")
+        groups[group] ^= _hash(f"{document.name} {document.version}")
+    return tuple(groups)
 
 
 def _add_keys(
@@ -116,9 +215,18 @@
 ) -> None:
     for key in content.keys:
         digest = bytes.fromhex(key.digest)
-        owners[digest] = KeyOwner(
-            content.organisation, digest[:KEY_IDENTIFIER_BYTES]
-        )
-
-
-EMPTY = build_snapshot({})
+        known = owners.get(digest)
+        if known is None or content.organisation < known.organisation:
+            owners[digest] = KeyOwner(
+                content.organisation, digest[:KEY_IDENTIFIER_BYTES]
+            )
+
+
+EMPTY = Snapshot(
+    parsed=_freeze({}),
+    services=_freeze({}),
+    key_owners=_freeze({}),
+    identifiers=_freeze({}),
+    fleet=documents.FleetDocument(),
+    groups=(0,) * GROUPS,
+)
--- a/cyclamenwell/peers/client.py
+++ b/cyclamenwell/peers/client.py
@@ -17,6 +17,7 @@
 from cyclamenwell import exceptions
 from cyclamenwell.generated import messages
 from cyclamenwell.peers import wire
+from cyclamenwell.telemetry import metrics
 
 __all__ = ["Address", "Interrupt", "PeerClient"]
 
@@ -119,7 +120,8 @@
         if interrupt is not None:
             interrupt.add_callback(shut_down)
         try:
-            reply = _converse(connection, frame, end)
+            received = _exchange_frames(connection, frame, end)
+            reply = wire.decode(received)
             if belongs is not None and not belongs(reply):
                 raise exceptions.ProtocolError("the reply is to another call")
         except (OSError, exceptions.ProtocolError) as error:
@@ -137,6 +139,9 @@
             connection.close()
             return reply
         self._give_back(address, connection)
+        metrics.count_spread(
+            type(message).__name__, "asked", len(frame), len(received)
+        )
         return reply
 
     def close(self) -> None:
@@ -207,14 +212,16 @@
     return False
 
 
-def _converse(connection: socket.socket, frame: bytes, end: float) -> Any:
-    """Send a frame and return the decoded reply, all before a time."""
+def _exchange_frames(
+    connection: socket.socket, frame: bytes, end: float
+) -> bytes:
+    """Send a frame and return the frame of the reply, all before a time."""
     connection.settimeout(max(end - time.monotonic(), _MIN_TIMEOUT.seconds))
     wire.send_frame(connection, frame)
     received = wire.receive_frame(connection, end)
     if received is None:
         raise exceptions.ProtocolError("connection closed")
-    return wire.decode(received)
+    return received
 
 
 def _shut_down(connection: socket.socket) -> None:
--- a/cyclamenwell/testing/fleet.py
+++ b/cyclamenwell/testing/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent import futures
 import dataclasses
 import threading
 import time
@@ -10,6 +11,7 @@
 import urllib3
 
 from cyclamenwell import clock
+from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import messages
 from cyclamenwell.node import process
 from cyclamenwell.standin import platform as platforms
@@ -20,6 +22,7 @@
 
 _LOOPBACK = "127.0.0.1"
 _PATIENCE_SECONDS = 20.0
+_STARTING_BELIEVED = clock.Milliseconds(1000)
 _POLL_SECONDS = 0.01
 _SHORT_STOP = "stop:\n  linger: 0\n"
 
@@ -38,6 +41,23 @@
         time.sleep(_POLL_SECONDS)
 
 
+def _sees_no_start(node: process.Node) -> bool:
+    """Return whether a node takes no other instance for one that starts.
+
+    Nodes that start at the same time report this state to each other, and it
+    is believed for a second.
+    """
+    now = node.parts.time.now()
+    for instance in node.parts.directory.current.entries:
+        record = node.parts.directory.find_record(instance)
+        starting = record.load is not None and (
+            record.load.state is enumerations.InstanceState.STARTING
+        )
+        if starting and now - record.heard_at < _STARTING_BELIEVED:
+            return False
+    return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
     """A node with its target.
@@ -70,6 +90,7 @@
         self.platform = platforms.PlatformStandin(_LOOPBACK, 0)
         self.platform.start()
         self.members: dict[str, Member] = {}
+        self._running: set[str] = set()
         self._http = urllib3.PoolManager(retries=False, maxsize=64)
 
     def add(
@@ -127,17 +148,45 @@
             ]
         )
 
-    def start(self) -> None:
-        """Publish the list and start all nodes."""
-        self.publish_list()
-        for member in self.members.values():
-            member.node.start()
+    def start(self, *names: str) -> None:
+        """Publish the list and start nodes at the same time.
 
-    def stop(self) -> None:
-        """Stop all nodes at the same time."""
+        Parameters
+        ----------
+        *names : str
+            Instances to start, none for all; the list always names all.
+        """
+        self.publish_list()
+        started = names or tuple(self.members)
+        self._running.update(started)
+        with futures.ThreadPoolExecutor(len(started)) as pool:
+            starts = [
+                pool.submit(self.members[name].node.start) for name in started
+            ]
+        for start in starts:
+            start.result()
+        self.wait_until_confirmed(*started)
+
+    def wait_until_confirmed(self, *names: str) -> None:
+        """Wait until nodes take keyed calls."""
+        for name in names:
+            wait_until(
+                self.members[name].node.parts.freshness.is_confirmed,
+                f"the view of {name} is confirmed",
+            )
+        for name in names:
+            wait_until(
+                lambda node=self.members[name].node: _sees_no_start(node),
+                f"{name} believes of no instance that it is starting",
+            )
+
+    def stop(self, *names: str) -> None:
+        """Stop started nodes at the same time, all if none is named."""
+        stopped = names or tuple(self._running)
+        self._running.difference_update(stopped)
         threads = [
-            threading.Thread(target=member.node.stop)
-            for member in self.members.values()
+            threading.Thread(target=self.members[name].node.stop)
+            for name in stopped
         ]
         for thread in threads:
             thread.start()
