--- a/cyclamenwell/load/deployment.py
+++ b/cyclamenwell/load/deployment.py
@@ -27,6 +27,7 @@
     "build_organisation",
 ]
 
+_MAX_CLOCK_SKEW = clock.Milliseconds(100)
 _REGION = "r-1"
 _START_TIMEOUT = clock.Milliseconds(60_000)
 _POLL = clock.Milliseconds(50)
@@ -174,6 +175,9 @@
                 "start_delay": 10,
             },
             "stop": {"linger": 0, "max_drain": _MAX_DRAIN.value},
+            # All processes read one clock. With the default, keys would be
+            # refused for 5 s after the start.
+            "idempotency": {"max_clock_skew": _MAX_CLOCK_SKEW.value},
         }
         for group, fields in (changes or {}).items():
             settings[group] = settings.get(group, {}) | dict(fields)
@@ -307,6 +311,7 @@
         status = json.loads(response.data)
         return (
             status["state"] == "serving"
+            and status["view_confirmed"]
             and status["instances"] == len(self.members)
             and len(status["documents"]) == documents
         )
