--- a/cyclamenwell/limits/service_peers.py
+++ b/cyclamenwell/limits/service_peers.py
@@ -11,7 +11,7 @@
 from cyclamenwell.generated import messages
 from cyclamenwell.limits import limiter as limiters
 from cyclamenwell.membership import directory as directories
-from cyclamenwell.membership import views
+from cyclamenwell.membership import ledger as ledgers
 from cyclamenwell.peers import client as peer_clients
 from cyclamenwell.telemetry import logs
 
@@ -24,7 +24,7 @@
 
 
 def exchange_views(
-    ledger: views.ViewLedger,
+    ledger: ledgers.ViewLedger,
     peer: str,
     time: clock.Clock,
     load: messages.LoadReport | None,
@@ -34,7 +34,7 @@
 
     Parameters
     ----------
-    ledger : views.ViewLedger
+    ledger : ledgers.ViewLedger
         Live views of this node.
     peer : str
         The peer.
@@ -91,7 +91,7 @@
         Service of this node.
     time : clock.Clock
         Clock of the tasks.
-    ledger : views.ViewLedger
+    ledger : ledgers.ViewLedger
         Live views.
     limiter : limiters.FleetLimiter
         Leases.
@@ -112,7 +112,7 @@
         self,
         service: str,
         time: clock.Clock,
-        ledger: views.ViewLedger,
+        ledger: ledgers.ViewLedger,
         limiter: limiters.FleetLimiter,
         directory: directories.Directory,
         client: peer_clients.PeerClient,
--- a/cyclamenwell/limits/tests/test_fleet.py
+++ b/cyclamenwell/limits/tests/test_fleet.py
@@ -8,7 +8,7 @@
 from cyclamenwell.limits import limiter as limiters
 from cyclamenwell.limits import shares
 from cyclamenwell.limits.tests import builders
-from cyclamenwell.membership import views
+from cyclamenwell.membership import ledger as ledgers
 from cyclamenwell.testing import shares as simulation
 
 ORGANISATION = builders.ORGANISATION
@@ -105,7 +105,7 @@
 @pytest.mark.parametrize(
     "owner, name, broken",
     [
-        (views.ViewLedger, "_can_settle", settle_at_once),
+        (ledgers.ViewLedger, "_can_settle", settle_at_once),
         (shares.Account, "_list_loans", lend_without_reducing),
     ],
 )
--- a/cyclamenwell/membership/tests/test_views.py
+++ b/cyclamenwell/membership/tests/test_views.py
@@ -10,6 +10,7 @@
 from cyclamenwell import clock
 from cyclamenwell.limits import shares
 from cyclamenwell.limits.tests import builders
+from cyclamenwell.membership import ledger as ledgers
 from cyclamenwell.membership import views
 from cyclamenwell.testing import shares as simulation
 
@@ -108,7 +109,7 @@
 def test_ignoring_older_views_is_caught(monkeypatch):
     """Guards against a scenario that passes without the rule it tests."""
     monkeypatch.setattr(
-        views.ViewLedger, "_has_witness", lambda self, view: True
+        ledgers.ViewLedger, "_has_witness", lambda self, view: True
     )
     assert sum_bases(run_newcomer_beside_cut_off_member()) > shares.WHOLE
 
--- a/cyclamenwell/node/assembly.py
+++ b/cyclamenwell/node/assembly.py
@@ -25,7 +25,7 @@
 from cyclamenwell.limits import limiter as limiters
 from cyclamenwell.limits import service_peers
 from cyclamenwell.membership import directory as directories
-from cyclamenwell.membership import views
+from cyclamenwell.membership import ledger as ledgers
 from cyclamenwell.node import cancellation as cancellations
 from cyclamenwell.node import claims
 from cyclamenwell.node import dispatcher as dispatchers
@@ -112,7 +112,7 @@
     target = targets.TargetClient(loaded.target, time)
     gate = gates.Gate(time, loaded.admission)
     limiter = limiters.FleetLimiter(base.identity, time, loaded.limits)
-    ledger = views.ViewLedger(
+    ledger = ledgers.ViewLedger(
         base.identity, time, loaded.limits, loaded.peers.view_interval
     )
     own = own_service.OwnService(
@@ -204,7 +204,7 @@
     base: _Base,
     context: conversations.Context,
     executor: executors.Executor,
-    ledger: views.ViewLedger,
+    ledger: ledgers.ViewLedger,
     limiter: limiters.FleetLimiter,
     claim_parts: claims.ClaimParts,
 ) -> parts.Parts:
--- a/cyclamenwell/node/claims.py
+++ b/cyclamenwell/node/claims.py
@@ -15,6 +15,7 @@
 from cyclamenwell.idempotency import guard as guards
 from cyclamenwell.idempotency import registrar as registrars
 from cyclamenwell.membership import directory as directories
+from cyclamenwell.membership import ledger as ledgers
 from cyclamenwell.membership import views
 from cyclamenwell.peers import client as peer_clients
 from cyclamenwell.peers import identity as identities
@@ -44,7 +45,7 @@
 class _LedgerViews:
     """Views of the ledger, with wall times as idempotency keys have them."""
 
-    def __init__(self, ledger: views.ViewLedger, time: clock.Clock) -> None:
+    def __init__(self, ledger: ledgers.ViewLedger, time: clock.Clock) -> None:
         self._ledger = ledger
         self._time = time
 
@@ -124,7 +125,7 @@
     loaded: settings.NodeSettings,
     identity: identities.Identity,
     time: clock.Clock,
-    ledger: views.ViewLedger,
+    ledger: ledgers.ViewLedger,
     directory: directories.Directory,
     client: peer_clients.PeerClient,
 ) -> ClaimParts:
@@ -138,7 +139,7 @@
         Identity towards peers.
     time : clock.Clock
         Clock of the node.
-    ledger : views.ViewLedger
+    ledger : ledgers.ViewLedger
         Live views of the own service.
     directory : directories.Directory
         Addresses of the registrars.
--- a/cyclamenwell/node/own_service.py
+++ b/cyclamenwell/node/own_service.py
@@ -10,7 +10,7 @@
 from cyclamenwell.generated import documents
 from cyclamenwell.generated import messages
 from cyclamenwell.limits import limiter as limiters
-from cyclamenwell.membership import views
+from cyclamenwell.membership import ledger as ledgers
 
 __all__ = ["OwnService"]
 
@@ -28,7 +28,7 @@
         Takes the bounds on requests at once.
     limiter : limiters.FleetLimiter
         Takes the rates.
-    ledger : views.ViewLedger
+    ledger : ledgers.ViewLedger
         Takes the version.
     """
 
@@ -38,7 +38,7 @@
         store: stores.Store,
         gate: gates.Gate,
         limiter: limiters.FleetLimiter,
-        ledger: views.ViewLedger,
+        ledger: ledgers.ViewLedger,
     ) -> None:
         self._name = f"service/{service}"
         self._store = store
--- a/cyclamenwell/node/parts.py
+++ b/cyclamenwell/node/parts.py
@@ -15,7 +15,7 @@
 from cyclamenwell.generated import settings
 from cyclamenwell.limits import limiter as limiters
 from cyclamenwell.membership import directory as directories
-from cyclamenwell.membership import views
+from cyclamenwell.membership import ledger as ledgers
 from cyclamenwell.node import cancellation as cancellations
 from cyclamenwell.node import claims
 from cyclamenwell.node import executor as executors
@@ -50,7 +50,7 @@
         Links to the neighbours.
     reader : readers.Reader
         Reads the platform.
-    ledger : views.ViewLedger
+    ledger : ledgers.ViewLedger
         Live views of the own service.
     limiter : limiters.FleetLimiter
         Rates of the organisations.
@@ -72,7 +72,7 @@
     responder: responders.Responder
     disseminator: dissemination.Disseminator
     reader: readers.Reader
-    ledger: views.ViewLedger
+    ledger: ledgers.ViewLedger
     limiter: limiters.FleetLimiter
     claims: claims.ClaimParts
     executor: executors.Executor
--- a/cyclamenwell/testing/shares.py
+++ b/cyclamenwell/testing/shares.py
@@ -21,7 +21,7 @@
 from cyclamenwell.generated import settings
 from cyclamenwell.limits import limiter as limiters
 from cyclamenwell.limits import shares
-from cyclamenwell.membership import views
+from cyclamenwell.membership import ledger as ledgers
 from cyclamenwell.peers import identity as identities
 from cyclamenwell.peers import wire
 
@@ -78,7 +78,7 @@
         self.drift = drift
         self.identity = identities.Identity(instance, incarnation)
         self.limiter = limiters.FleetLimiter(self.identity, self.time, limits)
-        self.ledger = views.ViewLedger(
+        self.ledger = ledgers.ViewLedger(
             self.identity, self.time, limits, view_interval
         )
         self.ledger.attach(self.limiter, lambda: None)
