Use one rendezvous hash and one notation of idempotency keys

Cause: overlay, limits and idempotency each had a rendezvous hash of their own. Two notations of one UUID (capitals, braces, URN) counted as two idempotency keys, so a request could run twice.

Change: membership/rendezvous.py serves all three; the entry node puts a key in its usual notation.

Conclusion: a repeat is recognised in any notation.

--- a/cyclamenwell/configuration/overlay.py
+++ b/cyclamenwell/configuration/overlay.py
@@ -3,25 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-import hashlib
 import heapq
 
 from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import messages
 from cyclamenwell.generated import settings
 from cyclamenwell.membership import directory as directories
+from cyclamenwell.membership import rendezvous
 
 __all__ = ["NeighbourChooser", "is_reader"]
 
-_SCORE_BYTES = 8
 _LEAVING = enumerations.InstanceState.LEAVING
 
 
-def _compute_score(text: str) -> int:
-    digest = hashlib.blake2b(text.encode(), digest_size=_SCORE_BYTES).digest()
-    return int.from_bytes(digest, "big")
-
-
 def is_reader(
     listed: directories.InstanceList, instance: str, readers: int
 ) -> bool:
@@ -46,7 +40,9 @@
         and (entry.state is not _LEAVING or entry is own)
     ]
     first = heapq.nlargest(
-        readers, candidates, key=lambda name: _compute_score(f"reader {name}")
+        readers,
+        candidates,
+        key=lambda name: rendezvous.compute_score("reader", name),
     )
     return instance in first
 
@@ -137,7 +133,7 @@
 
     def _score_pair(self, other: str) -> int:
         first, second = sorted((self._own.name, other))
-        return _compute_score(f"{first} {second}")
+        return rendezvous.compute_score(first, second)
 
     def _take(
         self, candidates: Iterable[messages.InstanceEntry], count: int
--- a/cyclamenwell/idempotency/claimer.py
+++ b/cyclamenwell/idempotency/claimer.py
@@ -15,6 +15,7 @@
 from cyclamenwell.generated import messages
 from cyclamenwell.idempotency import answers
 from cyclamenwell.idempotency import views
+from cyclamenwell.membership import rendezvous
 
 __all__ = ["Claim", "Claimer", "ClaimHeldError", "SendMessage"]
 
@@ -203,7 +204,7 @@
 
     def _list_quorums(self, key: str) -> list[tuple[str, ...]]:
         return [
-            views.choose_registrars(key, view.members, self._registrars)
+            rendezvous.choose_members(key, view.members, self._registrars)
             for view in self._source.list_live_views()
         ]
 
--- a/cyclamenwell/idempotency/keys.py
+++ b/cyclamenwell/idempotency/keys.py
@@ -9,7 +9,7 @@
 from cyclamenwell import exceptions
 from cyclamenwell.generated import enumerations
 
-__all__ = ["make_key", "read_time"]
+__all__ = ["make_key", "normalise_key", "read_time"]
 
 _VERSION = 7
 _RANDOM_BITS = 74
@@ -27,19 +27,38 @@
     return str(uuid.UUID(int=value))
 
 
-def read_time(key: str) -> clock.Milliseconds:
-    """Return the wall time at which a key was made.
+def normalise_key(key: str) -> str:
+    """Return a key in its usual notation.
 
     Parameters
     ----------
     key : str
-        UUID of version 7 in its usual notation.
+        UUID of version 7; capitals, braces and a URN prefix are accepted.
 
     Raises
     ------
     exceptions.RefusedError
         As BAD_REQUEST if the key is not a UUID of version 7.
+
+    Notes
+    -----
+    Two notations of one UUID are the same key, so the request runs once.
     """
+    return str(_parse(key))
+
+
+def read_time(key: str) -> clock.Milliseconds:
+    """Return the wall time at which a key was made.
+
+    Raises
+    ------
+    exceptions.RefusedError
+        As BAD_REQUEST if the key is not a UUID of version 7.
+    """
+    return clock.Milliseconds(_parse(key).int >> _TIME_SHIFT)
+
+
+def _parse(key: str) -> uuid.UUID:
     try:
         parsed = uuid.UUID(key)
     except ValueError:
@@ -49,4 +68,4 @@
             enumerations.ErrorKind.BAD_REQUEST,
             f"idempotency-key: got {key!r}, must be a UUID of version 7",
         )
-    return clock.Milliseconds(parsed.int >> _TIME_SHIFT)
+    return parsed
--- a/cyclamenwell/idempotency/registrar.py
+++ b/cyclamenwell/idempotency/registrar.py
@@ -14,6 +14,7 @@
 from cyclamenwell.idempotency import answers
 from cyclamenwell.idempotency import keys
 from cyclamenwell.idempotency import views
+from cyclamenwell.membership import rendezvous
 
 __all__ = ["Registrar"]
 
@@ -132,7 +133,7 @@
         if len(self._grants) >= _MAX_GRANTS:
             return _Kind.CLAIM_UNAVAILABLE
         for view in self._source.list_views_since(made_at - skew):
-            chosen = views.choose_registrars(
+            chosen = rendezvous.choose_members(
                 key, view.members, self._limits.registrars
             )
             if self._instance not in chosen:
--- a/cyclamenwell/idempotency/tests/test_at_most_once.py
+++ b/cyclamenwell/idempotency/tests/test_at_most_once.py
@@ -10,8 +10,8 @@
 from cyclamenwell.idempotency import answers
 from cyclamenwell.idempotency import claimer as claimers
 from cyclamenwell.idempotency import keys
-from cyclamenwell.idempotency import views
 from cyclamenwell.idempotency.tests import builders
+from cyclamenwell.membership import rendezvous
 
 Kind = enumerations.ErrorKind
 FINGERPRINT = b"f" * 32
@@ -147,7 +147,7 @@
         builders.Node(f"n{index}", network, time, builders.Views(None, wider))
     nodes[0].views.live = (*nodes[0].views.live, wider)
     key = build_key(time)
-    in_wider = views.choose_registrars(key.key, wider.members, 5)
+    in_wider = rendezvous.choose_members(key.key, wider.members, 5)
     network.cut.update(in_wider[:3])
     with pytest.raises(exceptions.RefusedError):
         run(nodes[0], key, [])
@@ -213,3 +213,12 @@
     with pytest.raises(AssertionError, match="== 1"):
         for seed in range(SEEDS):
             test_random_repeats_run_at_most_once(seed)
+
+
+def test_notations_of_one_key_are_the_same_key(time):
+    """Guards against a second run under another notation of the key."""
+    key = keys.make_key(time)
+    for other in (key.upper(), f"{{{key}}}", f"urn:uuid:{key}"):
+        assert keys.normalise_key(other) == key
+    with pytest.raises(exceptions.RefusedError):
+        keys.normalise_key("f81d4fae-7dec-11d0-a765-00a0c91e6bf6")
--- a/cyclamenwell/limits/shares.py
+++ b/cyclamenwell/limits/shares.py
@@ -5,10 +5,10 @@
 from collections.abc import Mapping
 import dataclasses
 import functools
-import hashlib
 
 from cyclamenwell import clock
 from cyclamenwell.limits import bucket as buckets
+from cyclamenwell.membership import rendezvous
 from cyclamenwell.membership import views
 
 __all__ = [
@@ -34,11 +34,7 @@
     members: tuple[str, ...], organisation: str, count: int
 ) -> frozenset[str]:
     """Choose the instances that share a small burst, by rendezvous hash."""
-
-    def score(instance: str) -> bytes:
-        return hashlib.sha256(f"{organisation}\n{instance}".encode()).digest()
-
-    return frozenset(sorted(members, key=score)[:count])
+    return frozenset(rendezvous.choose_members(organisation, members, count))
 
 
 def find_share(
--- a/cyclamenwell/node/front.py
+++ b/cyclamenwell/node/front.py
@@ -230,8 +230,7 @@
         given = request.find_header(headers.IDEMPOTENCY_KEY)
         if not given:
             return idempotency_keys.make_key(self._time)
-        idempotency_keys.read_time(given)
-        return given
+        return idempotency_keys.normalise_key(given)
 
 
 def _find_service_name(request: calls.HttpRequest) -> str:
