--- a/cyclamenwell/configuration/overlay.py
+++ b/cyclamenwell/configuration/overlay.py
@@ -39,11 +39,7 @@
         if entry.data_centre == own.data_centre
         and (entry.state is not _LEAVING or entry is own)
     ]
-    first = heapq.nlargest(
-        readers,
-        candidates,
-        key=lambda name: rendezvous.compute_score("reader", name),
-    )
+    first = rendezvous.choose_members("reader", candidates, readers)
     return instance in first
 
 
