--- a/cyclamenwell/commands/main.py
+++ b/cyclamenwell/commands/main.py
@@ -144,6 +144,7 @@
         rows = [_fetch(one, "/status") for one in node]
         columns = ["instance", "service", "data_centre", "state"]
         columns += ["in_progress", "queued", "limit", "cold", "list_revision"]
+        columns += ["view_confirmed", "reader"]
     outputs.print_rows(rows, columns, output)
 
 
