Cap the limit by the health endpoint and measure the gate

Cause: target.health_path had no effect; the gate had no metrics; a starting node labelled metrics with any Host of a caller; no test covered a caller that disconnects while its call is queued.

Change: a thread probes the endpoint and caps the limit at the cold limit on failure, never below. Gauges and a refusal counter describe the gate. The service label is that of a document, else unknown.

--- a/cyclamenwell/node/assembly.py
+++ b/cyclamenwell/node/assembly.py
@@ -9,6 +9,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell.admission import gate as gates
+from cyclamenwell.admission import health as healths
 from cyclamenwell.configuration import audit
 from cyclamenwell.configuration import claims as deliveries
 from cyclamenwell.configuration import conversation as conversations
@@ -19,6 +20,7 @@
 from cyclamenwell.configuration import responder as responders
 from cyclamenwell.configuration import startup as startups
 from cyclamenwell.configuration import store as stores
+from cyclamenwell.generated import documents
 from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import settings
 from cyclamenwell.keys import contexts
@@ -82,6 +84,8 @@
         Connections to other nodes.
     target : targets.TargetClient
         Connections to the target.
+    health : healths.HealthWatch or None
+        Probes of the target's health endpoint, if it has one.
     """
 
     parts: parts.Parts
@@ -90,6 +94,7 @@
     service_peers: service_peers.ServicePeers
     client: peer_clients.PeerClient
     target: targets.TargetClient
+    health: healths.HealthWatch | None
 
 
 def assemble(loaded: settings.NodeSettings, time: clock.Clock) -> Assembly:
@@ -157,6 +162,7 @@
         service_peers=_build_service_peers(base, node),
         client=base.client,
         target=target,
+        health=_build_health(base, gate),
     )
 
 
@@ -183,6 +189,23 @@
     )
 
 
+def _build_health(base: _Base, gate: gates.Gate) -> healths.HealthWatch | None:
+    target = base.settings.target
+    if not target.health_path:
+        return None
+    return healths.HealthWatch(
+        healths.HealthReader(target),
+        gate,
+        functools.partial(_read_cold_limit, base),
+        target.health_interval,
+    )
+
+
+def _read_cold_limit(base: _Base) -> int:
+    service = base.store.snapshot.services.get(base.settings.instance.service)
+    return (service or documents.ServiceDocument()).cold_limit
+
+
 def _build_context(
     base: _Base, executor: executors.Executor
 ) -> conversations.Context:
--- a/cyclamenwell/node/executor.py
+++ b/cyclamenwell/node/executor.py
@@ -25,6 +25,7 @@
 from cyclamenwell.node import headers
 from cyclamenwell.node import target as targets
 from cyclamenwell.retries import allowance as allowances
+from cyclamenwell.telemetry import metrics
 
 __all__ = ["Executor"]
 
@@ -221,15 +222,7 @@
         allowance: allowances.RetryAllowance,
         cancellation: cancellations.Cancellation,
     ) -> calls.Reply:
-        admission = self._gate.enter(
-            tickets.Ticket(
-                organisation=call.organisation,
-                weight=caller.rate_per_second if caller else 0.0,
-                importance=call.importance,
-                deadline=call.deadline,
-            ),
-            cancellation,
-        )
+        admission = self._enter_gate(call, caller, cancellation)
         visit = _Visit(admission)
         run = functools.partial(self._run, call, allowance, cancellation, visit)
         try:
@@ -242,6 +235,24 @@
                 admission, tickets.Observation(visit.result, duration)
             )
 
+    def _enter_gate(
+        self,
+        call: calls.Call,
+        caller: documents.CallerDocument | None,
+        cancellation: cancellations.Cancellation,
+    ) -> tickets.Admission:
+        ticket = tickets.Ticket(
+            organisation=call.organisation,
+            weight=caller.rate_per_second if caller else 0.0,
+            importance=call.importance,
+            deadline=call.deadline,
+        )
+        try:
+            return self._gate.enter(ticket, cancellation)
+        except exceptions.RefusedError as refusal:
+            metrics.count_gate_refusal(refusal.kind.name, call.importance.name)
+            raise
+
     def _run_once(
         self, call: calls.Call, run: Callable[[], calls.Reply]
     ) -> calls.Reply:
--- a/cyclamenwell/node/front.py
+++ b/cyclamenwell/node/front.py
@@ -35,6 +35,7 @@
 _MAX_DEPTH = 32
 _STARTING_RETRY = clock.Milliseconds(1000)
 _MAX_DIGITS = 12
+_UNKNOWN_SERVICE = "unknown"
 
 
 class Front:
@@ -114,7 +115,14 @@
                 exceptions.RefusedError(_Kind.INTERNAL, "internal error")
             )
         finally:
-            metrics.count_call(service, kind, self._time.now() - started)
+            metrics.count_call(
+                self._find_label(service), kind, self._time.now() - started
+            )
+
+    def _find_label(self, service: str) -> str:
+        """Return a label that callers can not choose freely."""
+        known = service in self._store.snapshot.services
+        return service if known else _UNKNOWN_SERVICE
 
     def _run_root(
         self,
--- a/cyclamenwell/node/operations.py
+++ b/cyclamenwell/node/operations.py
@@ -41,6 +41,7 @@
             return _build_answer(405, _TEXT, b"only GET is allowed\n")
         if path == "/metrics":
             self._note_figures()
+            self._note_gate()
             metrics.record_units(self._node.limiter.report_units())
             return _build_answer(200, _TEXT, metrics.render())
         if path == "/status":
@@ -68,6 +69,17 @@
             )
         )
 
+    def _note_gate(self) -> None:
+        load = self._node.report_load()
+        metrics.note_gate(
+            metrics.GateFigures(
+                in_progress=load.in_progress,
+                queued=load.queued,
+                limit=load.limit,
+                cold=load.cold,
+            )
+        )
+
     def _describe_status(self) -> dict[str, Any]:
         node = self._node
         load = node.report_load()
--- a/cyclamenwell/node/process.py
+++ b/cyclamenwell/node/process.py
@@ -54,6 +54,8 @@
             self._target_side_server.start()
             self._caller_server.start()
             self._assembly.service_peers.start()
+            if self._assembly.health is not None:
+                self._assembly.health.start()
         if not self._assembly.startup.run():
             return
         self._wait_for_share()
@@ -142,6 +144,8 @@
         return finished
 
     def _close(self) -> None:
+        if self._assembly.health is not None:
+            self._assembly.health.stop()
         self._operations_server.drain(clock.ZERO)
         self.parts.claims.claimer.close()
         self._assembly.client.close()
--- a/cyclamenwell/telemetry/metrics.py
+++ b/cyclamenwell/telemetry/metrics.py
@@ -12,12 +12,15 @@
 
 __all__ = [
     "ConfigurationFigures",
+    "GateFigures",
     "count_call",
+    "count_gate_refusal",
     "count_platform_read",
     "count_rate_refusal",
     "count_spread",
     "count_stale_answer",
     "note_configuration",
+    "note_gate",
     "record_units",
     "render",
 ]
@@ -81,6 +84,23 @@
     "Millionths of an organisation's limit: held, borrowed or lent.",
     ["organisation", "kind"],
 )
+_gate_in_progress = prometheus_client.Gauge(
+    "cyclamenwell_gate_in_progress", "Requests at the target."
+)
+_gate_queued = prometheus_client.Gauge(
+    "cyclamenwell_gate_queued", "Requests that wait at the gate."
+)
+_gate_limit = prometheus_client.Gauge(
+    "cyclamenwell_gate_limit", "Requests that may be at the target at once."
+)
+_gate_cold = prometheus_client.Gauge(
+    "cyclamenwell_gate_cold", "1 while the target warms up, else 0."
+)
+_gate_refusals = prometheus_client.Counter(
+    "cyclamenwell_gate_refusals",
+    "Requests refused at the gate, by kind of refusal and importance.",
+    ["kind", "importance"],
+)
 _SPREAD_REQUESTS = frozenset(
     {
         "AnnounceRequest",
@@ -114,6 +134,41 @@
     platform_age: clock.Milliseconds | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GateFigures:
+    """Load of the gate when it is asked for.
+
+    Parameters
+    ----------
+    in_progress : int
+        Requests at the target.
+    queued : int
+        Requests that wait.
+    limit : int
+        Requests that may be at the target at once.
+    cold : bool
+        Whether the target warms up.
+    """
+
+    in_progress: int
+    queued: int
+    limit: int
+    cold: bool
+
+
+def note_gate(figures: GateFigures) -> None:
+    """Set the gauges of the gate."""
+    _gate_in_progress.set(figures.in_progress)
+    _gate_queued.set(figures.queued)
+    _gate_limit.set(figures.limit)
+    _gate_cold.set(figures.cold)
+
+
+def count_gate_refusal(kind: str, importance: str) -> None:
+    """Count a request that the gate refused."""
+    _gate_refusals.labels(kind, importance).inc()
+
+
 def note_configuration(figures: ConfigurationFigures) -> None:
     """Set the gauges of the configuration."""
     _documents.set(figures.documents)
@@ -163,15 +218,13 @@
     Parameters
     ----------
     service : str
-        Service that the caller named; callers of no known service are
-        counted together, so that they can not grow the metrics.
+        Service with a document, or ``unknown``; never a name that only a
+        caller gave, so that callers can not grow the metrics.
     refusal : str
         Name of the error kind, ``NONE`` for a whole answer.
     duration : clock.Milliseconds
         Time until the answer.
     """
-    if refusal == "NO_SUCH_SERVICE":
-        service = "unknown"
     counter, histogram = _find_children(service, refusal)
     counter.inc()
     histogram.observe(duration.seconds)
--- a/cyclamenwell/testing/builders.py
+++ b/cyclamenwell/testing/builders.py
@@ -138,6 +138,7 @@
     target_port: int,
     other_ports: tuple[int, int],
     extra: str = "",
+    target_extra: str = "",
 ) -> settings.NodeSettings:
     """Return the settings of a node for a listed instance.
 
@@ -151,9 +152,11 @@
         Target-side port and operations port.
     extra : str
         Further sections in YAML.
+    target_extra : str
+        Further lines of the target section in YAML.
     """
     text = build_settings_text(
-        entry, platform_port, target_port, other_ports, extra
+        entry, platform_port, target_port, other_ports, extra, target_extra
     )
     return files.read_settings(text, "settings.yaml")
 
@@ -164,6 +167,7 @@
     target_port: int,
     other_ports: tuple[int, int],
     extra: str = "",
+    target_extra: str = "",
 ) -> str:
     """Return the settings of `build_settings` as text."""
     text = f"""\
@@ -179,7 +183,7 @@
   operations_port: {other_ports[1]}
 target:
   port: {target_port}
-platform:
+{target_extra}platform:
   url: http://127.0.0.1:{platform_port}
   start_delay: 100
 {extra}"""
--- a/cyclamenwell/testing/fleet.py
+++ b/cyclamenwell/testing/fleet.py
@@ -100,11 +100,13 @@
         data_centre: str = "dc-a",
         extra: str = "",
         target_port: int = 0,
+        target_extra: str = "",
         **plan: Any,
     ) -> Member:
         """Add an instance; call `start` after the last one.
 
-        A `target_port` replaces the stand-in by a target of the test.
+        A `target_port` replaces the stand-in by a target of the test;
+        `target_extra` adds lines to the target section of the settings.
         """
         if "stop:" not in extra:
             extra += _SHORT_STOP
@@ -128,6 +130,7 @@
             target_port or target.port,
             (target_side, operations),
             extra,
+            target_extra,
         )
         node = process.Node(loaded, clock.SystemClock())
         member = Member(entry, node, target, target_side, operations)
--- a/cyclamenwell/tests/builders.py
+++ b/cyclamenwell/tests/builders.py
@@ -80,14 +80,22 @@
     return server
 
 
-def build_fleet(*services: str) -> fleets.Fleet:
-    """Return a fleet whose documents are published, without instances."""
+def build_fleet(*services: str, extra: str = WARM) -> fleets.Fleet:
+    """Return a fleet whose documents are published, without instances.
+
+    Parameters
+    ----------
+    *services : str
+        Services, each with the document of `builders.build_service_text`.
+    extra : str
+        Further fields of the documents in YAML.
+    """
     fleet = fleets.Fleet()
     for service in services:
         fleet.platform.publish(
             f"service/{service}",
             builders.build_service_text(
-                service, rate=1e6, burst=1e6, extra=WARM
+                service, rate=1e6, burst=1e6, extra=extra
             ),
         )
     fleet.platform.publish(
--- a/cyclamenwell/tests/test_cancellation.py
+++ b/cyclamenwell/tests/test_cancellation.py
@@ -85,3 +85,53 @@
     keeper.release.set()
     with staying:
         assert b"released" in staying.recv(65536)
+
+
+@pytest.fixture
+def narrow_fleet(keeper):
+    """Build a fleet whose target takes one call at a time; others queue."""
+    made = builders.build_fleet(
+        "meters", "billing", extra="cold_limit: 1\nmax_in_progress: 1\n"
+    )
+    made.add("meters-1", "meters")
+    made.add(
+        "billing-1",
+        "billing",
+        target_port=builders.serve(keeper).port,
+        extra="admission:\n  max_queue_wait: 60000\n",
+    )
+    made.start()
+    yield made
+    keeper.release.set()
+    made.stop()
+
+
+@pytest.mark.parametrize("entry", ["billing-1", "meters-1"])
+def test_disconnection_reaches_the_queue(narrow_fleet, keeper, entry):
+    """Guards against a place in the queue for a caller that has gone.
+
+    The gate is that of the entry node, or of another node.
+    """
+
+    def wait_for_queued(count):
+        parts = narrow_fleet.members["billing-1"].node.parts
+        fleets.wait_until(
+            lambda: parts.report_load().queued == count,
+            f"{count} calls are queued",
+        )
+
+    running = connect(narrow_fleet, "billing-1", "billing")
+    assert keeper.arrived.acquire(timeout=PATIENCE_SECONDS)
+    waiting = connect(narrow_fleet, entry, "billing")
+    wait_for_queued(1)
+    waiting.close()
+    wait_for_queued(0)
+    assert list_in_progress(narrow_fleet) == [0, 1]
+    keeper.release.set()
+    with running:
+        assert b"released" in running.recv(65536)
+    # A call that comes later runs next: the target never sees the other one.
+    with connect(narrow_fleet, entry, "billing") as later:
+        assert b"released" in later.recv(65536)
+    assert keeper.arrived.acquire(blocking=False)
+    assert not keeper.arrived.acquire(blocking=False)
--- /dev/null
+++ b/cyclamenwell/tests/test_health.py
@@ -0,0 +1,96 @@
+"""Health endpoint and metrics of real nodes."""
+
+import json
+
+import pytest
+
+from cyclamenwell.generated import enumerations
+from cyclamenwell.node import calls
+from cyclamenwell.testing import fleet as fleets
+from cyclamenwell.tests import builders
+
+_HEALTH = "  health_path: /health\n  health_interval: 100\n"
+
+
+class HealthEndpoint:
+    """Target whose health endpoint answers a given status."""
+
+    def __init__(self):
+        self.status = 200
+
+    def answer(self, request, connection):
+        del connection
+        if request.path != "/health":
+            return calls.HttpAnswer(200)
+        return calls.HttpAnswer(self.status)
+
+
+@pytest.fixture
+def endpoint():
+    return HealthEndpoint()
+
+
+@pytest.fixture
+def fleet(endpoint):
+    made = builders.build_fleet("billing", extra="cold_limit: 3\n")
+    made.add(
+        "billing-1",
+        "billing",
+        target_port=builders.serve(endpoint).port,
+        target_extra=_HEALTH,
+    )
+    made.start()
+    yield made
+    made.stop()
+
+
+def read_metrics(fleet):
+    member = fleet.members["billing-1"]
+    answer = fleet.send(member.operations_port, "operations", "/metrics", {})
+    lines = answer.data.decode().splitlines()
+    return dict(
+        line.rsplit(" ", 1) for line in lines if not line.startswith("#")
+    )
+
+
+def test_node_probes_until_it_stops(fleet, endpoint):
+    """Guards against a setting without effect and a thread that stays."""
+    parts = fleet.members["billing-1"].node.parts
+    gate = parts.executor._gate
+    caps = []
+    real = gate.cap_limit
+    gate.cap_limit = lambda cap: (caps.append(cap), real(cap))
+    for endpoint.status, cap in ((200, None), (503, 3), (200, None)):
+        caps.clear()
+        fleets.wait_until(lambda c=cap: c in caps, f"the cap is {cap}")
+    fleet.stop()
+    assert not fleet.members["billing-1"].node._assembly.health.is_running
+
+
+def test_metrics_show_the_gate(fleet):
+    """Guards against figures of the gate that operators can not see."""
+    shown = read_metrics(fleet)
+    status = fleet.send(
+        fleet.members["billing-1"].operations_port, "operations", "/status", {}
+    )
+    load = json.loads(status.data)
+    for name in ("in_progress", "queued", "limit", "cold"):
+        assert float(shown[f"cyclamenwell_gate_{name}"]) == load[name]
+    assert load["limit"] == 3
+
+
+def test_starting_node_does_not_label_callers_names(fleet):
+    """Guards against callers that grow the metrics of a starting node."""
+    executor = fleet.members["billing-1"].node.parts.executor
+    executor.state = enumerations.InstanceState.STARTING
+    for number in range(5):
+        answer = fleet.call("billing-1", f"invented-{number}", "/about")
+        assert answer.status == 503
+    fleet.call("billing-1", "billing", "/about")
+    shown = read_metrics(fleet)
+    executor.state = enumerations.InstanceState.SERVING
+    assert not [line for line in shown if "invented" in line]
+    labels = 'refusal="STALE_VIEW",service="%s"'
+    for service in ("unknown", "billing"):
+        name = "cyclamenwell_calls_total{%s}" % (labels % service)
+        assert float(shown[name]) >= 1
