--- a/cyclamenwell/tests/test_cancellation.py
+++ b/cyclamenwell/tests/test_cancellation.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cyclamenwell.testing import builders as test_data
 from cyclamenwell.testing import fleet as fleets
 from cyclamenwell.tests import builders
 
@@ -90,8 +91,16 @@
 @pytest.fixture
 def narrow_fleet(keeper):
     """Build a fleet whose target takes one call at a time; others queue."""
-    made = builders.build_fleet(
-        "meters", "billing", extra="cold_limit: 1\nmax_in_progress: 1\n"
+    made = builders.build_fleet("meters", "billing")
+    text = test_data.build_service_text(
+        rate=1e6, burst=1e6, extra="cold_limit: 1\nmax_in_progress: 1\n"
+    )
+    # Else a call that stays in the queue would leave it by its deadline.
+    made.platform.publish(
+        "service/billing",
+        text.replace(
+            "methods: [GET]\n", "methods: [GET]\n    timeout: 60000\n"
+        ),
     )
     made.add("meters-1", "meters")
     made.add(
