Let full use of a cap earn no growth of the limit above it

Cause: the growth rule compared the use with the limit in force, which the cap lowers. Under a cap of 2 the limit grew unseen, so a healthy report raised it.

Change: the use is compared with the earned limit.

--- a/cyclamenwell/admission/limit.py
+++ b/cyclamenwell/admission/limit.py
@@ -314,7 +314,8 @@
             self._cut_slow(max(tolerated_ms / ended.mean_ms, _MAX_CUT), now)
             return
         self._slow_rounds = 0
-        if ended.peak * 2 <= self.value or now < self._hold_until:
+        # Full use of a cap shows nothing of the limit above it.
+        if ended.peak * 2 <= int(self._limit) or now < self._hold_until:
             return
         if self._is_probe_due(ended, now):
             self._start_probe()
--- a/cyclamenwell/admission/tests/test_health.py
+++ b/cyclamenwell/admission/tests/test_health.py
@@ -91,3 +91,20 @@
         assert gate.read_load().limit == grown
     watch.probe()
     assert gate.read_load().limit == _COLD_LIMIT
+
+
+def test_full_use_of_the_cap_earns_nothing_above_it(watch, reader, gate):
+    """Guards against a limit that grows unseen under the cap."""
+    reader.status = 503
+    watch.probe()
+    uncapped = builders.build_gate(clock.ManualClock(), cold_limit=_COLD_LIMIT)
+    for _ in range(100):
+        for each in (gate, uncapped):
+            entries = [
+                each.join(builders.build_ticket()) for _ in range(_COLD_LIMIT)
+            ]
+            for entry in entries:
+                each.leave(entry.admission, _ANSWER)
+    reader.status = 200
+    watch.probe()
+    assert gate.read_load().limit == uncapped.read_load().limit
--- a/cyclamenwell/tests/test_health.py
+++ b/cyclamenwell/tests/test_health.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from cyclamenwell import exceptions
 from cyclamenwell.generated import enumerations
 from cyclamenwell.node import calls
+from cyclamenwell.node import cancellation as cancellations
+from cyclamenwell.node.tests import builders as node_builders
 from cyclamenwell.testing import fleet as fleets
 from cyclamenwell.tests import builders
 
@@ -94,3 +97,19 @@
     for service in ("unknown", "billing"):
         name = "cyclamenwell_calls_total{%s}" % (labels % service)
         assert float(shown[name]) >= 1
+
+
+def test_refusals_of_the_gate_are_counted(fleet):
+    """Guards against sheds that operators can not tell by importance."""
+    parts = fleet.members["billing-1"].node.parts
+    name = (
+        'cyclamenwell_gate_refusals_total{importance="NORMAL",'
+        'kind="DEADLINE_PASSED"}'
+    )
+    before = float(read_metrics(fleet).get(name, 0))
+    passed = node_builders.build_call(
+        parts.time, organisation="", deadline=parts.time.now()
+    )
+    with pytest.raises(exceptions.RefusedError):
+        parts.executor._enter_gate(passed, None, cancellations.Cancellation())
+    assert float(read_metrics(fleet)[name]) == before + 1
