--- /dev/null
+++ b/cyclamenwell/capacity/measures.py
@@ -0,0 +1,445 @@
+"""Small runs that give the slopes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import gc
+import pathlib
+import random
+import socket
+import threading
+import time
+import tracemalloc
+from typing import Any
+
+from cyclamenwell import clock
+from cyclamenwell.capacity import figures
+from cyclamenwell.configuration import audit
+from cyclamenwell.configuration import store as stores
+from cyclamenwell.configuration.tests import builders as nodes
+from cyclamenwell.generated import messages
+from cyclamenwell.generated import settings
+from cyclamenwell.idempotency import keys
+from cyclamenwell.idempotency.tests import builders as claims
+from cyclamenwell.load import deployment as deployments
+from cyclamenwell.load import processes
+from cyclamenwell.membership import directory as directories
+from cyclamenwell.peers import wire
+from cyclamenwell.testing import builders
+from cyclamenwell.testing import shares
+
+__all__ = ["measure_bytes", "measure_idle_rss", "measure_slopes"]
+
+_SEED = 1
+_FRAME_HEAD_BYTES = 4
+_STACK_BYTES = 256 * 1024  # As the node's main program sets it.
+_SETTLE = clock.Milliseconds(35_000)
+_WATCHED = clock.Milliseconds(20_000)
+_STEP = clock.Milliseconds(100)
+_KEYS_PER_ORGANISATION = 5
+_MAX_TICKS = 600
+
+
+def measure_slopes() -> dict[str, figures.Slope]:
+    """Run all measurements."""
+    return {
+        **_measure_spread(),
+        **_measure_documents(),
+        **_measure_list(),
+        **_measure_service(),
+        **_measure_books(),
+        **_measure_claims(),
+        "thread": _measure_threads(),
+    }
+
+
+def measure_bytes() -> dict[str, int]:
+    """Return frame lengths of control messages at realistic contents."""
+    sender = messages.Sender("billing-00017", 2**60, "billing-00018", 2**60)
+    load = messages.LoadReport("billing-00017", 2**60, limit=160)
+    entry = messages.VersionEntry("service/billing-accounts", 120)
+    text = messages.DocumentText(
+        entry.name, entry.version, builders.build_service_text()
+    )
+    digest = b"d" * 32
+    listed = messages.ListReply(
+        9001, nodes.build_entries(1), ("billing-00012",), 9000, b"f" * 8
+    )
+    key = keys.make_key(clock.SystemClock())
+    found = (
+        messages.ExchangeRequest(sender, digest, 9001, 900, load),
+        messages.ExchangeReply(digest, 9001, 900, load),
+        messages.AnnounceRequest(sender, (entry,), 9001),
+        messages.AnnounceReply((entry.name,), 9001),
+        messages.DeliverRequest(sender, (text,)),
+        messages.DeliverReply(9001),
+        messages.ListReply(
+            listed.revision,
+            listed.instances,
+            listed.removed,
+            listed.base_revision,
+            listed.fingerprint,
+        ),
+        messages.LeaseRequest(sender, b"l" * 16, "shops", 9, b"r" * 16, 2000),
+        messages.LeaseReply(b"l" * 16, 9, 1.5, 2000),
+        messages.ClaimRequest(sender, b"c" * 16, key, "shops", digest),
+        messages.ClaimReply(b"c" * 16, True),
+        messages.ReleaseRequest(sender, b"c" * 16, key, "shops"),
+        messages.GoodbyeRequest(sender),
+    )
+    return {
+        type(message).__name__: len(wire.encode(message)) + _FRAME_HEAD_BYTES
+        for message in found
+    }
+
+
+def measure_idle_rss() -> int:
+    """Return the resident size of a node that serves without load."""
+    with processes.ProcessGroup() as group:
+        deployment = deployments.Deployment(group)
+        deployment.start_platform()
+        deployment.choose_members([("billing-a", "billing", "dc-a")])
+        deployment.publish_list()
+        deployment.publish_fleet()
+        (member,) = deployment.members
+        deployment.start_target(member, {})
+        deployment.start_node(member)
+        deployment.wait_for_targets()
+        deployment.wait_for_nodes(1)
+        name = next(n for n in group.names if n.startswith("node"))
+        return _read_rss(str(group.find_pid(name)))
+
+
+def _read_rss(pid: str) -> int:
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    line = next(li for li in text.splitlines() if li.startswith("VmRSS"))
+    return int(line.split()[1]) * 1024
+
+
+def _time(action: Callable[[], Any]) -> float:
+    """Return milliseconds of processor time."""
+    gc.collect()
+    start = time.process_time()
+    action()
+    return (time.process_time() - start) * 1000
+
+
+def _weigh(build: Callable[[], Any]) -> float:
+    """Return bytes that an object keeps."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    found = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return float(found)
+
+
+def _fit(
+    unit: str, per: str, sizes: Sequence[int], run: Callable[[int], float]
+) -> figures.Slope:
+    return figures.fit(unit, per, sizes, [run(size) for size in sizes])
+
+
+def _measure_spread() -> dict[str, figures.Slope]:
+    time_ = clock.ManualClock(clock.Milliseconds(1000))
+    pair = nodes.build_fleet(
+        nodes.build_entries(2),
+        nodes.Network(random.Random(_SEED)),
+        time_,
+        nodes.FakePlatform(),
+    )
+    talk = pair[0].talk_to(pair[1])
+    version = [0]
+
+    def announce_new(count: int) -> None:
+        for _ in range(count):
+            version[0] += 1
+            text = nodes.build_text(
+                version[0],
+                "service/billing",
+                builders.build_service_text(rate=1000 + version[0]),
+            )
+            pair[0].store.apply((text,), "test")
+            talk.announce((messages.VersionEntry(text.name, text.version),))
+
+    announce_new(1)
+    known = (messages.VersionEntry("service/billing", 1),)
+    counts = (400, 800, 1600)
+    found = {
+        "exchange": _fit(
+            "ms",
+            "equal exchange, both sides",
+            counts,
+            lambda n: _time(lambda: [talk.exchange() for _ in range(n)]),
+        ),
+        "announcement": _fit(
+            "ms",
+            "known announcement, both sides",
+            counts,
+            lambda n: _time(lambda: [talk.announce(known) for _ in range(n)]),
+        ),
+        "delivery": _fit(
+            "ms",
+            "new document, announced, delivered and applied at both sides",
+            (40, 80, 160),
+            lambda n: _time(lambda: announce_new(n)),
+        ),
+    }
+    fleets = {size: _count_spread(size) for size in (30, 60, 90)}
+    for name, request in (
+        ("announcements", "AnnounceRequest"),
+        ("deliveries", "DeliverRequest"),
+    ):
+        found[name] = _fit(
+            "messages",
+            "node, for one change",
+            tuple(fleets),
+            lambda n, request=request: float(fleets[n][request]),
+        )
+    return found
+
+
+def _count_spread(size: int) -> dict[str, int]:
+    """Return messages of one change in a fleet of in-memory nodes."""
+    source = random.Random(_SEED)
+    time_ = clock.ManualClock(clock.Milliseconds(1000))
+    platform = nodes.FakePlatform()
+    network = nodes.Network(source)
+    fleet = nodes.build_fleet(
+        nodes.build_entries(size), network, time_, platform
+    )
+    nodes.run(fleet, time_, source, _MAX_TICKS // 2)
+    network.calls.clear()
+    version = platform.publish("fleet", builders.build_fleet_text("dc-9"))
+    nodes.run(
+        fleet,
+        time_,
+        source,
+        _MAX_TICKS,
+        lambda: all(
+            node.store.snapshot.find_version("fleet") == version
+            for node in fleet
+        ),
+    )
+    return network.calls
+
+
+def _build_store(count: int, build: Callable[[int], Any]) -> stores.Store:
+    store = stores.Store(clock.SystemClock(), audit.AuditTrail())
+    store.apply([build(number) for number in range(count)], "test")
+    return store
+
+
+def _build_service(number: int) -> messages.DocumentText:
+    name = f"service-{number}"
+    text = builders.build_service_text(service=name)
+    return nodes.build_text(1, f"service/{name}", text)
+
+
+def _build_organisation(number: int, count: int) -> messages.DocumentText:
+    name = f"organisation-{number}"
+    listed = [f"key-{number}-{index}" for index in range(count)]
+    text = builders.build_organisation_text(name, *listed)
+    return nodes.build_text(1, f"organisation/{name}", text)
+
+
+def _measure_documents() -> dict[str, figures.Slope]:
+    sizes = (50, 100, 200)
+    return {
+        "service_document": _fit(
+            "bytes",
+            "service document",
+            sizes,
+            lambda n: _weigh(lambda: _build_store(n, _build_service)),
+        ),
+        "organisation_document": _fit(
+            "bytes",
+            f"organisation with {_KEYS_PER_ORGANISATION} keys",
+            sizes,
+            lambda n: _weigh(
+                lambda: _build_store(
+                    n,
+                    lambda i: _build_organisation(i, _KEYS_PER_ORGANISATION),
+                )
+            ),
+        ),
+        "organisation_key": _fit(
+            "bytes",
+            "key in one organisation",
+            (50, 100, 200),
+            lambda n: _weigh(
+                lambda: _build_store(1, lambda i: _build_organisation(i, n))
+            ),
+        ),
+    }
+
+
+def _build_directory(count: int) -> directories.Directory:
+    directory = directories.Directory(clock.SystemClock())
+    directory.replace_list(1, nodes.build_entries(count))
+    return directory
+
+
+def _measure_list() -> dict[str, figures.Slope]:
+    sizes = (3750, 7500, 15_000)
+    directory = directories.Directory(clock.SystemClock())
+    entries = {size: nodes.build_entries(size) for size in sizes}
+    revision = iter(range(1, 1000))
+    return {
+        "listed_memory": _fit(
+            "bytes",
+            "listed instance",
+            sizes,
+            lambda n: _weigh(lambda: _build_directory(n)),
+        ),
+        "list_time": _fit(
+            "ms",
+            "listed instance, list replaced",
+            sizes,
+            lambda n: _time(
+                lambda: directory.replace_list(next(revision), entries[n])
+            ),
+        ),
+    }
+
+
+def _build_shares(size: int) -> shares.SimulatedService:
+    service = shares.SimulatedService(
+        _SEED,
+        settings.LimitSettings(max_token_wait=clock.ZERO),
+        settings.PeerSettings().view_interval,
+        shares.Faults(),
+    )
+    names = [f"billing-{number:05}" for number in range(size)]
+    service.publish_list(names)
+    service.publish_document(shares.build_caller())
+    for name in names:
+        service.start(name)
+    service.deliver_all()
+    service.run(_SETTLE, _STEP)
+    service.byte_count = service.message_count = 0
+    return service
+
+
+def _measure_service() -> dict[str, figures.Slope]:
+    sizes = (12, 24, 48)
+    seconds = _WATCHED.seconds
+    taken, traffic, sent = [], [], []
+    for size in sizes:
+        service = _build_shares(size)
+        spent = _time(lambda s=service: s.run(_WATCHED, _STEP))
+        taken.append(spent / seconds / size)
+        # Each frame is sent by one node and received by another.
+        traffic.append(2 * service.byte_count / seconds / size)
+        sent.append(2 * service.message_count / seconds / size)
+    per = "instance of the service, a node at rest"
+    return {
+        "view_time": figures.fit("ms/s", per, sizes, taken),
+        "view_traffic": figures.fit("bytes/s", per, sizes, traffic),
+        "view_messages": figures.fit("messages/s", per, sizes, sent),
+    }
+
+
+def _measure_books() -> dict[str, figures.Slope]:
+    service = _build_shares(3)
+    first, second, _ = service.nodes.values()
+    sender = second.identity.address(first.instance)
+
+    def grant(count: int) -> None:
+        for _ in range(count):
+            request = messages.LeaseRequest(
+                sender, random.randbytes(16), "shops", 1, b"", 2000
+            )
+            reply = first.limiter.grant(wire.decode(wire.encode(request)))
+            wire.decode(wire.encode(reply))
+
+    def use(count: int) -> Any:
+        node = _build_shares(1).nodes["billing-00000"]
+        names = [f"organisation-{number}" for number in range(count)]
+        node.apply_document(9, [shares.build_caller(n) for n in names])
+        for name in names:
+            node.take(name)
+        return node
+
+    return {
+        "lease": _fit(
+            "ms",
+            "lease request, both sides' encoding and the lender's decision",
+            (200, 400, 800),
+            lambda n: _time(lambda: grant(n)),
+        ),
+        "book": _fit(
+            "bytes",
+            "token bucket with its share book",
+            (100, 200, 400),
+            lambda n: _weigh(lambda: use(n)),
+        ),
+    }
+
+
+def _measure_claims() -> dict[str, figures.Slope]:
+    system = clock.SystemClock()
+
+    def decide(count: int) -> Any:
+        network = claims.Network(random.Random(_SEED))
+        node = claims.build_nodes(5, system, network)[0]
+        for _ in range(count):
+            request = messages.ClaimRequest(
+                messages.Sender("n1", 2, "n0", 1),
+                random.randbytes(16),
+                keys.make_key(system),
+                "shops",
+                random.randbytes(32),
+            )
+            reply = node.registrar.decide(wire.decode(wire.encode(request)))
+            if not reply.granted:
+                raise AssertionError(f"a fresh claim was refused: {reply}")
+            wire.decode(wire.encode(reply))
+        return node
+
+    sizes = (1000, 2000, 4000)
+    return {
+        "claim": _fit(
+            "ms",
+            "claim decision with both sides' encoding",
+            sizes,
+            lambda n: _time(lambda: decide(n)),
+        ),
+        "grant": _fit(
+            "bytes",
+            "grant of an idempotency key",
+            sizes,
+            lambda n: _weigh(lambda: decide(n)),
+        ),
+    }
+
+
+def _measure_threads() -> figures.Slope:
+    former = threading.stack_size(_STACK_BYTES)
+    try:
+        return _fit(
+            "bytes", "kept connection with a thread", (100, 200, 300), _hold
+        )
+    finally:
+        threading.stack_size(former)
+
+
+def _hold(count: int) -> float:
+    """Return the growth of this process with waiting connections."""
+    before = _read_rss("self")
+    pairs = [socket.socketpair() for _ in range(count)]
+    waiting = [
+        threading.Thread(target=pair[0].recv, args=(1,)) for pair in pairs
+    ]
+    for thread in waiting:
+        thread.start()
+    grown = _read_rss("self") - before
+    for pair in pairs:
+        pair[1].close()
+    for thread, pair in zip(waiting, pairs, strict=True):
+        thread.join()
+        pair[0].close()
+    return float(grown)
