Work out the planned size and write docs/CAPACITY.md

The design page refers to a page that did not exist. python -m cyclamenwell.capacity fills a template with measured slopes, so no figure is copied by hand.

--- /dev/null
+++ b/cyclamenwell/capacity/main.py
@@ -0,0 +1,90 @@
+"""Program that measures slopes and writes the capacity page."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated
+
+import jinja2
+import typer
+
+from cyclamenwell.capacity import figures
+from cyclamenwell.capacity import measures
+from cyclamenwell.capacity import model
+from cyclamenwell.load import processes
+
+__all__ = ["read_bench", "render", "run"]
+
+_HERE = pathlib.Path(__file__).parent
+_DOCS = _HERE.parents[1] / "docs"
+_P99_COLUMN, _PROCESSOR_COLUMN = -2, -1
+
+
+def read_bench(text: str) -> tuple[float, float]:
+    """Return p99 and processor time that two nodes add, one caller.
+
+    Parameters
+    ----------
+    text : str
+        Page with the table of `bench`; its last such row counts.
+    """
+    rows = [
+        [cell.strip() for cell in line.strip("| ").split("|")]
+        for line in text.splitlines()
+        if line.startswith("|") and "| 1 | two nodes |" in line
+    ]
+    last = rows[-1]
+    return float(last[_P99_COLUMN]), float(last[_PROCESSOR_COLUMN])
+
+
+def render(found: figures.Figures) -> str:
+    """Return the page for a set of figures."""
+    environment = jinja2.Environment(
+        loader=jinja2.FileSystemLoader(_HERE),
+        undefined=jinja2.StrictUndefined,
+        trim_blocks=True,
+        lstrip_blocks=True,
+        keep_trailing_newline=True,
+        autoescape=False,
+    )
+    burst = model.build_rows(found, model.BURST_PER_SECOND)
+    return environment.get_template("page.md.jinja").render(
+        found=found,
+        model=model,
+        targets=model.build_targets(found),
+        rows=model.build_rows(found),
+        burst_traffic=sum(row.traffic for row in burst),
+        burst_processor=sum(row.processor_ms for row in burst),
+        worked=model.work_out(found),
+    )
+
+
+def _main(
+    output: Annotated[pathlib.Path, typer.Option(help="Page to write.")] = _DOCS
+    / "CAPACITY.md",
+    added_p99_ms: Annotated[
+        float | None,
+        typer.Option(help="From `bench`; default from docs/measurements.md."),
+    ] = None,
+    added_processor_ms: Annotated[
+        float | None,
+        typer.Option(help="From `bench`; default from docs/measurements.md."),
+    ] = None,
+) -> None:
+    """Measure slopes and write the capacity page."""
+    processes.raise_on_signals()
+    p99, processor = read_bench((_DOCS / "measurements.md").read_text("utf-8"))
+    found = figures.Figures(
+        measures.measure_slopes(),
+        measures.measure_bytes(),
+        measures.measure_idle_rss(),
+        p99 if added_p99_ms is None else added_p99_ms,
+        processor if added_processor_ms is None else added_processor_ms,
+    )
+    output.write_text(render(found), "utf-8")
+    typer.echo(f"wrote {output}")
+
+
+def run() -> None:
+    """Run the program."""
+    typer.run(_main)
