--- a/cyclamenwell/capacity/main.py
+++ b/cyclamenwell/capacity/main.py
@@ -47,7 +47,11 @@
         keep_trailing_newline=True,
         autoescape=False,
     )
-    burst = model.build_rows(found, model.BURST_PER_SECOND)
+    burst = [
+        row
+        for row in model.build_rows(found, model.BURST_PER_SECOND)
+        if row.role != "at most once"
+    ]
     return environment.get_template("page.md.jinja").render(
         found=found,
         model=model,
