--- a/cyclamenwell/capacity/measures.py
+++ b/cyclamenwell/capacity/measures.py
@@ -350,7 +350,9 @@
         # Each frame is sent by one node and received by another.
         traffic.append(2 * service.byte_count / watched.seconds / size)
         sent.append(2 * service.message_count / watched.seconds / size)
-        changed.append(_change_view(service) / size / (size - 1))
+        at_rest = traffic[-1] * size * _CHANGE.seconds
+        more = _change_view(service) - at_rest
+        changed.append(more / size / (size - 1))
     per = "instance of the service, a node at rest"
     return {
         "view_traffic": figures.fit("bytes/s", per, sizes, traffic),
--- a/cyclamenwell/capacity/model.py
+++ b/cyclamenwell/capacity/model.py
@@ -238,6 +238,13 @@
             6,
             (worked["in_force_ms"] + worked["repair_ms"]) / 1000,
         ),
+        target(
+            "list in force after the loss of a rack",
+            "s",
+            6,
+            (worked["in_force_ms"] + worked["list_ms"] * worked["rack_changes"])
+            / 1000,
+        ),
         target("platform reads, at rest", "1/s", 2000, worked["reads_rest"]),
         target("platform reads, burst", "1/s", 2000, worked["reads_burst"]),
         target(
