--- a/cyclamenwell/capacity/model.py
+++ b/cyclamenwell/capacity/model.py
@@ -197,9 +197,14 @@
             1.0,
             worked["busy_processor_ms"] / CORE_MS,
         ),
-        target("control, part of a core", "%", 1.4, processor * percent),
         target(
-            "control without claims, part of a core",
+            "control, part of a core, socket calls not counted",
+            "%",
+            1.4,
+            processor * percent,
+        ),
+        target(
+            "the same without claims",
             "%",
             1.4,
             sum(row.processor_ms for row in without) * percent,
