Rename modules whose names were doubled or figurative

Cause: "claims" named two different things, and farewell, standings and visit are not the terms of the field.

The tests of the renamed parts pass.

--- a/cyclamenwell/capacity/model.py
+++ b/cyclamenwell/capacity/model.py
@@ -103,7 +103,7 @@
         row(
             "admission and forwarding",
             "gate, router, kept connections (the idle process is counted here)",
-            "queue, standings",
+            "queue, outlier records",
             0.0,
             0.0,  # Calls are no control; the page gives them apart.
             0.0,
@@ -146,7 +146,7 @@
         row(
             "membership",
             "list changes over the same overlay",
-            "list, standings",
+            "list, load reports",
             4 * listed * (announced + 1),
             listed * slopes["list_time"].at(NODES),
             pair(listed * announced, announce) + pair(listed, listing),
--- a/cyclamenwell/configuration/conversation.py
+++ b/cyclamenwell/configuration/conversation.py
@@ -13,7 +13,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
-from cyclamenwell.configuration import claims as claim_tables
+from cyclamenwell.configuration import deliveries as delivery_tables
 from cyclamenwell.configuration import freshness as freshnesses
 from cyclamenwell.configuration import listing
 from cyclamenwell.configuration import snapshot as snapshots
@@ -95,7 +95,7 @@
         Instance list and its changes.
     freshness : freshnesses.Freshness
         Takes confirmations.
-    claims : claim_tables.Claims
+    deliveries : delivery_tables.PendingDeliveries
         What is on its way.
     report_load : callable
         Returns state and load of this node.
@@ -107,7 +107,7 @@
     directory: directories.Directory
     lists: listing.ListBook
     freshness: freshnesses.Freshness
-    claims: claim_tables.Claims
+    deliveries: delivery_tables.PendingDeliveries
     report_load: Callable[[], messages.LoadReport]
 
     @property
@@ -314,24 +314,26 @@
         """Fetch what nobody else is sending; return whether all is here."""
         context = self._context
         names = [
-            v.name for v in missing if context.claims.claim(v.name, v.version)
+            v.name
+            for v in missing
+            if context.deliveries.begin(v.name, v.version)
         ]
         if names:
             try:
                 self.fetch(names)
             finally:
-                context.claims.release(names)
+                context.deliveries.end(names)
         return not any(context.store.needs(v.name, v.version) for v in missing)
 
     def _level_lists(self, revision: int) -> bool:
         """Pass the newer list on; return whether this node has it now."""
         context = self._context
         if revision > context.lists.revision:
-            if context.claims.claim(claim_tables.LIST, revision):
+            if context.deliveries.begin(delivery_tables.LIST, revision):
                 try:
                     self.fetch_list()
                 finally:
-                    context.claims.release((claim_tables.LIST,))
+                    context.deliveries.end((delivery_tables.LIST,))
         elif revision < context.lists.revision:
             self.announce(())
         return context.lists.revision >= revision
--- a/cyclamenwell/configuration/claims.py
+++ b/cyclamenwell/configuration/deliveries.py
@@ -7,12 +7,12 @@
 
 from cyclamenwell import clock
 
-__all__ = ["LIST", "Claims"]
+__all__ = ["LIST", "PendingDeliveries"]
 
-LIST = ""  # Name of the instance list among the claims.
+LIST = ""  # Name of the instance list among the deliveries.
 
 
-class Claims:
+class PendingDeliveries:
     """Keeps a version from being sent by several neighbours at once.
 
     Parameters
@@ -27,20 +27,20 @@
         self._time = time
         self._duration = duration
         self._lock = threading.Lock()
-        self._claims: dict[str, tuple[int, clock.Milliseconds]] = {}
+        self._pending: dict[str, tuple[int, clock.Milliseconds]] = {}
 
-    def claim(self, name: str, version: int) -> bool:
-        """Claim a version unless it or a newer one is on its way."""
+    def begin(self, name: str, version: int) -> bool:
+        """Note that a version is on its way, unless it or a newer one is."""
         now = self._time.now()
         with self._lock:
-            claimed = self._claims.get(name)
-            if claimed and claimed[0] >= version and claimed[1] > now:
+            pending = self._pending.get(name)
+            if pending and pending[0] >= version and pending[1] > now:
                 return False
-            self._claims[name] = (version, now + self._duration)
+            self._pending[name] = (version, now + self._duration)
             return True
 
-    def release(self, names: Iterable[str]) -> None:
-        """Give claims back after an arrival or a failure."""
+    def end(self, names: Iterable[str]) -> None:
+        """Forget deliveries that arrived or failed."""
         with self._lock:
             for name in names:
-                self._claims.pop(name, None)
+                self._pending.pop(name, None)
--- a/cyclamenwell/configuration/responder.py
+++ b/cyclamenwell/configuration/responder.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from cyclamenwell.configuration import claims as claim_tables
 from cyclamenwell.configuration import conversation
+from cyclamenwell.configuration import deliveries as delivery_tables
 from cyclamenwell.configuration import snapshot as snapshots
 from cyclamenwell.generated import messages
 
@@ -57,11 +57,13 @@
                 entry.name
                 for entry in request.versions
                 if context.store.needs(entry.name, entry.version)
-                and context.claims.claim(entry.name, entry.version)
+                and context.deliveries.begin(entry.name, entry.version)
             ),
             list_revision=revision,
             wants_list=request.list_revision > revision
-            and context.claims.claim(claim_tables.LIST, request.list_revision),
+            and context.deliveries.begin(
+                delivery_tables.LIST, request.list_revision
+            ),
         )
 
     def answer_deliver(
@@ -70,10 +72,10 @@
         """Put in force what was asked for."""
         context = self._context
         context.store.apply(request.documents, request.sender.instance)
-        context.claims.release(text.name for text in request.documents)
+        context.deliveries.end(text.name for text in request.documents)
         if request.instances is not None:
             context.lists.apply(request.instances)
-            context.claims.release((claim_tables.LIST,))
+            context.deliveries.end((delivery_tables.LIST,))
         return messages.DeliverReply(list_revision=context.lists.revision)
 
     def answer_fetch(
--- a/cyclamenwell/configuration/tests/builders.py
+++ b/cyclamenwell/configuration/tests/builders.py
@@ -9,8 +9,8 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import audit
-from cyclamenwell.configuration import claims
 from cyclamenwell.configuration import conversation
+from cyclamenwell.configuration import deliveries
 from cyclamenwell.configuration import dissemination
 from cyclamenwell.configuration import freshness
 from cyclamenwell.configuration import listing
@@ -213,7 +213,9 @@
             directory=self.directory,
             lists=listing.ListBook(self.directory),
             freshness=self.freshness,
-            claims=claims.Claims(time, self.peers.call_timeout),
+            deliveries=deliveries.PendingDeliveries(
+                time, self.peers.call_timeout
+            ),
             report_load=self._report_load,
         )
         self.client = _Client(network, self.name)
--- a/cyclamenwell/membership/ledger.py
+++ b/cyclamenwell/membership/ledger.py
@@ -675,7 +675,7 @@
         return stop
 
     def _is_needed(self, peer: str) -> bool:
-        """Return whether a peer's declaration or ear is still wanted."""
+        """Return whether a peer has to declare something or be told."""
         state = self._find_peer(peer)
         if self.settled_at is None or state.told != self._own_token:
             return True
--- a/cyclamenwell/node/assembly.py
+++ b/cyclamenwell/node/assembly.py
@@ -11,8 +11,8 @@
 from cyclamenwell.admission import gate as gates
 from cyclamenwell.admission import health as healths
 from cyclamenwell.configuration import audit
-from cyclamenwell.configuration import claims as deliveries
 from cyclamenwell.configuration import conversation as conversations
+from cyclamenwell.configuration import deliveries
 from cyclamenwell.configuration import dissemination
 from cyclamenwell.configuration import freshness as freshnesses
 from cyclamenwell.configuration import listing
@@ -41,8 +41,8 @@
 from cyclamenwell.platform import client as platform_clients
 from cyclamenwell.retries import budget as budgets
 from cyclamenwell.routing import chooser as choosers
+from cyclamenwell.routing import outliers
 from cyclamenwell.routing import overload
-from cyclamenwell.routing import standings as standing
 from cyclamenwell.routing import tiers as distances
 
 __all__ = ["Assembly", "assemble"]
@@ -216,7 +216,9 @@
         directory=base.directory,
         lists=listing.ListBook(base.directory),
         freshness=base.freshness,
-        claims=deliveries.Claims(base.time, base.settings.peers.call_timeout),
+        deliveries=deliveries.PendingDeliveries(
+            base.time, base.settings.peers.call_timeout
+        ),
         report_load=functools.partial(
             executor.report_load, base.identity.incarnation
         ),
@@ -284,14 +286,14 @@
 def _build_dispatcher(
     base: _Base, executor: executors.Executor
 ) -> dispatchers.Dispatcher:
-    standings = standing.Standings(base.time)
+    tracker = outliers.OutlierTracker(base.time)
     return dispatchers.Dispatcher(
         identity=base.identity,
         time=base.time,
         store=base.store,
         directory=base.directory,
-        chooser=_build_chooser(base, executor, standings),
-        standings=standings,
+        chooser=_build_chooser(base, executor, tracker),
+        tracker=tracker,
         guard=overload.OverloadGuard(base.time, base.source),
         executor=executor,
         client=base.client,
@@ -302,7 +304,7 @@
 def _build_chooser(
     base: _Base,
     executor: executors.Executor,
-    standings: standing.Standings,
+    tracker: outliers.OutlierTracker,
 ) -> choosers.Chooser:
     instance = base.settings.instance
     tiers = distances.Tiers(
@@ -318,7 +320,7 @@
     return choosers.Chooser(
         directory=base.directory,
         tiers=tiers,
-        standings=standings,
+        tracker=tracker,
         time=base.time,
         source=base.source,
         instance=instance.name,
--- a/cyclamenwell/node/dispatcher.py
+++ b/cyclamenwell/node/dispatcher.py
@@ -18,8 +18,8 @@
 from cyclamenwell.retries import budget as budgets
 from cyclamenwell.retries import policy
 from cyclamenwell.routing import chooser as choosers
+from cyclamenwell.routing import outliers
 from cyclamenwell.routing import overload
-from cyclamenwell.routing import standings as standing
 
 __all__ = ["Dispatcher"]
 
@@ -43,7 +43,7 @@
         Instances and their reports.
     chooser : choosers.Chooser
         Chooses instances.
-    standings : standing.Standings
+    tracker : outliers.OutlierTracker
         Learns from the outcome of each attempt.
     guard : overload.OverloadGuard
         Refuses calls to overloaded services before they are sent.
@@ -62,7 +62,7 @@
         store: stores.Store,
         directory: directories.Directory,
         chooser: choosers.Chooser,
-        standings: standing.Standings,
+        tracker: outliers.OutlierTracker,
         guard: overload.OverloadGuard,
         executor: executors.Executor,
         client: peer_clients.PeerClient,
@@ -73,7 +73,7 @@
         self._store = store
         self._directory = directory
         self._chooser = chooser
-        self._standings = standings
+        self._tracker = tracker
         self._guard = guard
         self._executor = executor
         self._client = client
@@ -168,7 +168,7 @@
     ) -> calls.HttpAnswer:
         lent = allowance.lend()
         failure = None
-        self._standings.begin(entry.instance)
+        self._tracker.begin(entry.instance)
         try:
             if entry.instance == self._identity.instance:
                 reply = self._executor.execute(call, lent, cancellation)
@@ -179,7 +179,7 @@
             allowance.settle(lent, min(max(refusal.retries_left, 0), lent))
             raise
         finally:
-            self._standings.end(entry.instance, failure)
+            self._tracker.end(entry.instance, failure)
             self._inform_guard(call, entry, failure)
         allowance.settle(lent, min(max(reply.retries_left, 0), lent))
         return reply.answer
--- a/cyclamenwell/node/executor.py
+++ b/cyclamenwell/node/executor.py
@@ -42,8 +42,8 @@
 }
 
 
-class _Visit:
-    """Stay of one admitted call at the target."""
+class _Execution:
+    """Times and result of one admitted call at the target."""
 
     def __init__(self, admission: tickets.Admission) -> None:
         self.sent_at = admission.admitted_at
@@ -223,16 +223,18 @@
         cancellation: cancellations.Cancellation,
     ) -> calls.Reply:
         admission = self._enter_gate(call, caller, cancellation)
-        visit = _Visit(admission)
-        run = functools.partial(self._run, call, allowance, cancellation, visit)
+        execution = _Execution(admission)
+        run = functools.partial(
+            self._run, call, allowance, cancellation, execution
+        )
         try:
             # The key may have been withdrawn while the call waited.
             self._check_key(call)
             return run() if call.route.idempotent else self._run_once(call, run)
         finally:
-            duration = self._time.now() - visit.sent_at
+            duration = self._time.now() - execution.sent_at
             self._gate.leave(
-                admission, tickets.Observation(visit.result, duration)
+                admission, tickets.Observation(execution.result, duration)
             )
 
     def _enter_gate(
@@ -285,7 +287,7 @@
         call: calls.Call,
         allowance: allowances.RetryAllowance,
         cancellation: cancellations.Cancellation,
-        visit: _Visit,
+        execution: _Execution,
     ) -> calls.Reply:
         """Run an admitted call and note what it shows of the target."""
         if cancellation.cancelled:
@@ -296,16 +298,18 @@
             raise exceptions.RefusedError(
                 _Kind.DEADLINE_PASSED, "the deadline has passed"
             )
-        visit.sent_at = self._time.now()
+        execution.sent_at = self._time.now()
         try:
             reply = self._send(call, allowance, cancellation)
         except exceptions.RefusedError as refusal:
             # Other kinds are refusals by this node and show nothing of the
             # target.
-            visit.result = _RESULTS.get(refusal.kind, tickets.Result.NOT_SENT)
+            execution.result = _RESULTS.get(
+                refusal.kind, tickets.Result.NOT_SENT
+            )
             raise
         failed = reply.answer.status >= 500
-        visit.result = (
+        execution.result = (
             tickets.Result.FAILED if failed else tickets.Result.ANSWERED
         )
         return reply
--- a/cyclamenwell/node/farewell.py
+++ b/cyclamenwell/node/goodbye.py
@@ -51,5 +51,5 @@
             client.call(peer_clients.Address.of(entry), message, timeout)
 
     others = [e for e in entries if e.instance != identity.instance]
-    with futures.ThreadPoolExecutor(_SENDERS, "farewell") as senders:
+    with futures.ThreadPoolExecutor(_SENDERS, "goodbye") as senders:
         futures.wait([senders.submit(tell, entry) for entry in others])
--- a/cyclamenwell/node/process.py
+++ b/cyclamenwell/node/process.py
@@ -8,7 +8,7 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import settings
 from cyclamenwell.node import assembly
-from cyclamenwell.node import farewell
+from cyclamenwell.node import goodbye
 from cyclamenwell.node import handlers
 from cyclamenwell.node import operations
 from cyclamenwell.node import webserver
@@ -122,7 +122,7 @@
 
     def _tell_peers(self, state: enumerations.InstanceState) -> None:
         service = self._settings.instance.service
-        farewell.send_goodbye(
+        goodbye.send_goodbye(
             state,
             self.parts.identity,
             self.parts.directory.list_service(service),
--- a/cyclamenwell/node/tests/builders.py
+++ b/cyclamenwell/node/tests/builders.py
@@ -28,8 +28,8 @@
 from cyclamenwell.retries import allowance as allowances
 from cyclamenwell.retries import budget as budgets
 from cyclamenwell.routing import chooser as choosers
+from cyclamenwell.routing import outliers
 from cyclamenwell.routing import overload
-from cyclamenwell.routing import standings as standing
 from cyclamenwell.routing import tiers as distances
 from cyclamenwell.testing import builders
 
@@ -174,11 +174,11 @@
     ]
     directory.replace_list(1, listed)
     source = random.Random(5)
-    standings = standing.Standings(time)
+    tracker = outliers.OutlierTracker(time)
     chooser = choosers.Chooser(
         directory,
         distances.Tiers(directory, time, own, "dc-a", "r-1"),
-        standings,
+        tracker,
         time,
         source,
         own,
@@ -192,7 +192,7 @@
         store=store,
         directory=directory,
         chooser=chooser,
-        standings=standings,
+        tracker=tracker,
         guard=overload.OverloadGuard(time, source),
         executor=executor,
         client=client,
--- a/cyclamenwell/routing/chooser.py
+++ b/cyclamenwell/routing/chooser.py
@@ -11,7 +11,7 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import messages
 from cyclamenwell.membership import directory as directories
-from cyclamenwell.routing import standings as standing
+from cyclamenwell.routing import outliers
 from cyclamenwell.routing import tiers as distances
 
 __all__ = ["Chooser"]
@@ -45,7 +45,7 @@
         Instances and their reports.
     tiers : distances.Tiers
         Instances by distance.
-    standings : standing.Standings
+    tracker : outliers.OutlierTracker
         What calls of this node have shown.
     time : clock.Clock
         Clock of the age of reports.
@@ -61,7 +61,7 @@
         self,
         directory: directories.Directory,
         tiers: distances.Tiers,
-        standings: standing.Standings,
+        tracker: outliers.OutlierTracker,
         time: clock.Clock,
         source: random.Random,
         instance: str,
@@ -69,7 +69,7 @@
     ) -> None:
         self._directory = directory
         self._tiers = tiers
-        self._standings = standings
+        self._tracker = tracker
         self._time = time
         self._source = source
         self._instance = instance
@@ -156,7 +156,7 @@
         own_load = (report.in_progress + report.queued) / max(report.limit, 1)
         if report.cold:
             own_load += _COLD_LOAD
-        penalty = self._standings.find_penalty(own.instance)
+        penalty = self._tracker.find_penalty(own.instance)
         if penalty is not None:
             weight = penalty.weigh(now)
             if penalty.absent and weight > 0:
@@ -229,7 +229,7 @@
             # All that were drawn are kept back, so this tier counts as full
             # while its instances refuse.
             load = self._estimate_load(entry.instance, now)
-            penalty = self._standings.find_penalty(entry.instance)
+            penalty = self._tracker.find_penalty(entry.instance)
             if penalty is not None:
                 load += penalty.weigh(now)
             return entry, load
@@ -251,7 +251,7 @@
             start = int(self._source.random() * len(tier.entries))
             for offset in range(len(tier.entries)):
                 entry = tier.entries[(start + offset) % len(tier.entries)]
-                penalty = self._standings.find_penalty(entry.instance)
+                penalty = self._tracker.find_penalty(entry.instance)
                 if penalty is None or now - penalty.since >= _LAST_RESORT_PAUSE:
                     return entry
         return None
@@ -265,7 +265,7 @@
     ) -> bool:
         if entry.instance in tried or self._is_away(entry.instance, now):
             return False
-        penalty = self._standings.find_penalty(entry.instance)
+        penalty = self._tracker.find_penalty(entry.instance)
         if penalty is not None and not penalty.absent:
             kept_back = penalty.weigh(now) - _PROBE_CHANCE
             if self._source.random() < kept_back:
@@ -283,7 +283,7 @@
         A state is believed for a limited time only, since a process that
         replaces another one does not tell all nodes.
         """
-        penalty = self._standings.find_penalty(instance)
+        penalty = self._tracker.find_penalty(instance)
         if penalty is not None and penalty.absent and penalty.weigh(now) > 0:
             return self._source.random() >= _PROBE_CHANCE
         record = self._directory.find_record(instance)
@@ -300,7 +300,7 @@
     def _estimate_load(self, instance: str, now: clock.Milliseconds) -> float:
         """Return the load of an instance relative to its limit."""
         record = self._directory.find_record(instance)
-        busy = float(self._standings.count_outstanding(instance))
+        busy = float(self._tracker.count_outstanding(instance))
         limit = _UNKNOWN_LIMIT
         extra = 0.0
         report = record.load
--- a/cyclamenwell/routing/standings.py
+++ b/cyclamenwell/routing/outliers.py
@@ -9,7 +9,7 @@
 from cyclamenwell import exceptions
 from cyclamenwell.generated import enumerations
 
-__all__ = ["Penalty", "Standings"]
+__all__ = ["Penalty", "OutlierTracker"]
 
 _Kind = enumerations.ErrorKind
 
@@ -64,7 +64,7 @@
         return max(1.0 - passed, 0.0)
 
 
-class Standings:
+class OutlierTracker:
     """Counts calls on their way and remembers recent failures.
 
     Parameters
--- a/cyclamenwell/routing/tests/builders.py
+++ b/cyclamenwell/routing/tests/builders.py
@@ -13,7 +13,7 @@
 from cyclamenwell.generated import messages
 from cyclamenwell.membership import directory as directories
 from cyclamenwell.routing import chooser as choosers
-from cyclamenwell.routing import standings as standing
+from cyclamenwell.routing import outliers
 from cyclamenwell.routing import tiers as distances
 from cyclamenwell.testing import builders
 
@@ -40,7 +40,7 @@
 
     time: clock.ManualClock
     directory: directories.Directory
-    standings: standing.Standings
+    tracker: outliers.OutlierTracker
     tiers: distances.Tiers
     chooser: choosers.Chooser
     own: dict[str, messages.LoadReport]
@@ -63,9 +63,9 @@
 
     def refuse(self, instance: str, kind: enumerations.ErrorKind) -> None:
         """Let one call to an instance fail."""
-        self.standings.begin(instance)
+        self.tracker.begin(instance)
         refusal = exceptions.RefusedError(kind, "")
-        self.standings.end(instance, refusal)
+        self.tracker.end(instance, refusal)
 
 
 def build_setting(
@@ -98,16 +98,16 @@
             for name in names
         ],
     )
-    standings = standing.Standings(time)
+    tracker = outliers.OutlierTracker(time)
     tiers = distances.Tiers(directory, time, own_instance, "dc-a", "r-1")
     own = {"load": build_report(own_instance)}
     chooser = choosers.Chooser(
         directory,
         tiers,
-        standings,
+        tracker,
         time,
         random.Random(_SEED),
         own_instance,
         lambda: own["load"],
     )
-    return Setting(time, directory, standings, tiers, chooser, own)
+    return Setting(time, directory, tracker, tiers, chooser, own)
--- a/cyclamenwell/routing/tests/test_chooser.py
+++ b/cyclamenwell/routing/tests/test_chooser.py
@@ -30,10 +30,10 @@
     setting = builders.build_setting({"dc-a": name_many(5)})
     for _ in range(200):
         name = setting.chooser.choose("billing", builders.ALL_IN, ()).instance
-        setting.standings.begin(name)
+        setting.tracker.begin(name)
         if name != "billing-2":
-            setting.standings.end(name, None)
-    assert setting.standings.count_outstanding("billing-2") <= 3
+            setting.tracker.end(name, None)
+    assert setting.tracker.count_outstanding("billing-2") <= 3
 
 
 def test_old_report_loses_its_weight():
@@ -75,8 +75,8 @@
     assert shares[0] < shares[1] < shares[2] + 50
     assert setting.draw()["billing-1"] > 250
     setting.refuse("billing-1", Kind.OVERLOADED)
-    setting.standings.begin("billing-1")
-    setting.standings.end("billing-1", None)
+    setting.tracker.begin("billing-1")
+    setting.tracker.end("billing-1", None)
     assert setting.draw()["billing-1"] > 250
 
 
