--- a/cyclamenwell/idempotency/answers.py
+++ b/cyclamenwell/idempotency/answers.py
@@ -8,7 +8,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 
 __all__ = ["AnswerCache", "KeptAnswer", "RequestKey"]
 
@@ -39,14 +39,14 @@
     ----------
     status : int
         HTTP status.
-    headers : tuple of messages.Header
+    headers : tuple of httpfields.Header
         End-to-end headers.
     body : bytes
         Whole body.
     """
 
     status: int
-    headers: tuple[messages.Header, ...]
+    headers: tuple[httpfields.Header, ...]
     body: bytes
 
 
--- a/cyclamenwell/load/forwarder.py
+++ b/cyclamenwell/load/forwarder.py
@@ -19,7 +19,7 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 from cyclamenwell.generated import settings
 from cyclamenwell.load import ports
 from cyclamenwell.node import calls
@@ -111,9 +111,9 @@
         timeout = request.find_header(headers.TIMEOUT_MS)
         wait = clock.Milliseconds(int(timeout)) if timeout else _TIMEOUT
         added = [
-            messages.Header(headers.CONTEXT, organisation),
-            messages.Header(headers.ORGANISATION, organisation),
-            messages.Header(headers.TIMEOUT_MS, str(int(wait.value))),
+            httpfields.Header(headers.CONTEXT, organisation),
+            httpfields.Header(headers.ORGANISATION, organisation),
+            httpfields.Header(headers.TIMEOUT_MS, str(int(wait.value))),
         ]
         kept = headers.strip_request(request.headers) + tuple(added)
         sent = dataclasses.replace(request, headers=kept)
--- a/cyclamenwell/node/calls.py
+++ b/cyclamenwell/node/calls.py
@@ -7,7 +7,7 @@
 from cyclamenwell import clock
 from cyclamenwell.generated import documents
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 
 __all__ = ["Call", "HttpAnswer", "HttpRequest", "Reply"]
 
@@ -22,7 +22,7 @@
         Method in capitals.
     path : str
         Path with query.
-    headers : tuple of messages.Header
+    headers : tuple of httpfields.Header
         Headers with names in lower case, in order.
     body : bytes
         Whole body.
@@ -30,7 +30,7 @@
 
     method: str
     path: str
-    headers: tuple[messages.Header, ...] = ()
+    headers: tuple[httpfields.Header, ...] = ()
     body: bytes = b""
 
     def find_header(self, name: str) -> str:
@@ -49,14 +49,14 @@
     ----------
     status : int
         HTTP status.
-    headers : tuple of messages.Header
+    headers : tuple of httpfields.Header
         Headers with names in lower case, without hop-by-hop headers.
     body : bytes
         Whole body.
     """
 
     status: int
-    headers: tuple[messages.Header, ...] = ()
+    headers: tuple[httpfields.Header, ...] = ()
     body: bytes = b""
 
 
--- a/cyclamenwell/node/executor.py
+++ b/cyclamenwell/node/executor.py
@@ -14,6 +14,7 @@
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.generated import documents
 from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import httpfields
 from cyclamenwell.generated import messages
 from cyclamenwell.generated import settings
 from cyclamenwell.idempotency import answers as idempotency_answers
@@ -356,12 +357,12 @@
         """Add what the target needs to know of the call."""
         remaining = max(int((call.deadline - self._time.now()).value), 1)
         added = [
-            messages.Header(headers.CONTEXT, token),
-            messages.Header(headers.TIMEOUT_MS, str(remaining)),
+            httpfields.Header(headers.CONTEXT, token),
+            httpfields.Header(headers.TIMEOUT_MS, str(remaining)),
         ]
         if call.organisation:
             added.append(
-                messages.Header(headers.ORGANISATION, call.organisation)
+                httpfields.Header(headers.ORGANISATION, call.organisation)
             )
         request = call.request
         return calls.HttpRequest(
--- a/cyclamenwell/node/headers.py
+++ b/cyclamenwell/node/headers.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 
 __all__ = [
     "AUTHORIZATION",
@@ -49,8 +49,8 @@
 
 
 def strip_request(
-    headers: Iterable[messages.Header],
-) -> tuple[messages.Header, ...]:
+    headers: Iterable[httpfields.Header],
+) -> tuple[httpfields.Header, ...]:
     """Return the headers of a request that may reach a target.
 
     Notes
@@ -73,8 +73,8 @@
 
 
 def keep_end_to_end(
-    headers: Iterable[messages.Header],
-) -> tuple[messages.Header, ...]:
+    headers: Iterable[httpfields.Header],
+) -> tuple[httpfields.Header, ...]:
     """Return the headers of a target's answer that belong to the caller.
 
     Notes
--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -13,12 +13,13 @@
 
 from cyclamenwell import exceptions
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 from cyclamenwell.node import calls
 
 __all__ = [
     "MAX_BODY_BYTES",
     "AnswerParser",
+    "AnswerSequenceParser",
     "ReceivedAnswer",
     "ReceivedRequest",
     "RequestParser",
@@ -79,7 +80,9 @@
     Parameters
     ----------
     too_large : enumerations.ErrorKind
-        Refusal of a body over `MAX_BODY_BYTES`.
+        Refusal of a body that is too large.
+    max_body_bytes : int
+        Largest body.
 
     Notes
     -----
@@ -89,12 +92,17 @@
 
     _parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
-    def __init__(self, too_large: enumerations.ErrorKind) -> None:
+    def __init__(
+        self,
+        too_large: enumerations.ErrorKind,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
         self._too_large = too_large
+        self._max_body_bytes = max_body_bytes
         self._reset()
 
     def _reset(self) -> None:
-        self._headers: list[messages.Header] = []
+        self._headers: list[httpfields.Header] = []
         self._judged: dict[str, list[str]] = {}
         self._body: list[bytes] = []
         self._in_head = True
@@ -111,7 +119,7 @@
         if self._in_head:
             name = name.decode("latin-1").lower()
             value = value.strip(b" \t").decode("latin-1")
-            self._headers.append(messages.Header(name, value))
+            self._headers.append(httpfields.Header(name, value))
             if name in _JUDGED:
                 self._judged.setdefault(name, []).append(value)
 
@@ -140,10 +148,10 @@
         self._check_body_size(self._body_bytes)
 
     def _check_body_size(self, size: int) -> None:
-        if size > MAX_BODY_BYTES:
+        if size > self._max_body_bytes:
             raise exceptions.RefusedError(
                 self._too_large,
-                f"the body has more than {MAX_BODY_BYTES} bytes",
+                f"the body has more than {self._max_body_bytes} bytes",
             )
 
     def _end_head(self) -> None:
@@ -173,10 +181,16 @@
 
 
 class RequestParser(_MessageParser):
-    """Parses the requests of one connection in order."""
+    """Parses the requests of one connection in order.
 
-    def __init__(self) -> None:
-        super().__init__(_Kind.BODY_TOO_LARGE)
+    Parameters
+    ----------
+    max_body_bytes : int
+        Largest body.
+    """
+
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        super().__init__(_Kind.BODY_TOO_LARGE, max_body_bytes)
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
         self._keeps = False
@@ -189,6 +203,10 @@
         """Return whether at least a part of a request was received."""
         return bool(self._whole or self._failure or self._has_begun)
 
+    def has_whole_head(self) -> bool:
+        """Return whether the head of the next request was received."""
+        return bool(self._whole) or (self._has_begun and not self._in_head)
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes."""
         rest = memoryview(data)
@@ -362,3 +380,101 @@
         self._interim += 1
         if self._interim > _MAX_INTERIM_ANSWERS:
             raise exceptions.ProtocolError("too many interim answers")
+
+
+class AnswerSequenceParser(_MessageParser):
+    """Parses all answers of one connection, also those nobody waits for.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Largest body.
+
+    Notes
+    -----
+    Unlike `AnswerParser` this one takes an answer without length and chunks,
+    which ends with its connection, and answers that come unasked, so that the
+    reader can tell them apart by what they hold.
+    """
+
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        super().__init__(_Kind.ANSWER_TOO_LARGE, max_body_bytes)
+        self._parser = httptools.HttpResponseParser(self)
+        self._whole: collections.deque[ReceivedAnswer] = collections.deque()
+        self._status = 0
+        self._interim = 0
+        self._is_open = False
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises
+        ------
+        exceptions.ProtocolError
+            If they are malformed; whole answers before them can be taken.
+        exceptions.RefusedError
+            If an answer is too large.
+        """
+        self._parse(data)
+
+    def finish(self) -> None:
+        """Note that the connection ended in order.
+
+        Raises
+        ------
+        exceptions.ProtocolError
+            If an answer with a length or chunks is not whole.
+        """
+        if not self._is_open:
+            return
+        if self._in_head or self._is_framed() or self._is_interim():
+            raise exceptions.ProtocolError("the connection ended early")
+        self._keep_answer(keeps=False)
+
+    def take(self) -> ReceivedAnswer | None:
+        """Return the next whole answer, if there is one."""
+        return self._whole.popleft() if self._whole else None
+
+    def has_whole(self) -> bool:
+        """Return whether a whole answer can be taken."""
+        return bool(self._whole)
+
+    def has_rest(self) -> bool:
+        """Return whether bytes came that belong to no taken answer."""
+        return self._is_open or bool(self._whole)
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._reset()
+        self._status = 0
+        self._is_open = True
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self._end_head()
+        self._status = self._parser.get_status_code()
+        if self._status == _SWITCHING or self._status > _MAX_STATUS:
+            raise exceptions.ProtocolError(f"status {self._status}")
+        if self._is_interim():
+            self._interim += 1
+            if self._interim > _MAX_INTERIM_ANSWERS:
+                raise exceptions.ProtocolError("too many interim answers")
+
+    def on_message_complete(self) -> None:
+        """Keep a whole answer that is not interim."""
+        self._check_sizes()
+        if self._is_interim():
+            self._is_open = False
+            return
+        self._keep_answer(self._parser.should_keep_alive())
+
+    def _is_interim(self) -> bool:
+        return self._status < _FIRST_FINAL
+
+    def _keep_answer(self, keeps: bool) -> None:
+        answer = calls.HttpAnswer(
+            self._status, tuple(self._headers), b"".join(self._body)
+        )
+        self._whole.append(ReceivedAnswer(answer, keeps))
+        self._is_open = False
+        self._interim = 0
--- a/cyclamenwell/node/operations.py
+++ b/cyclamenwell/node/operations.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from cyclamenwell import clock
+from cyclamenwell.generated import httpfields
 from cyclamenwell.generated import messages
 from cyclamenwell.membership import directory as directories
 from cyclamenwell.node import calls
@@ -181,5 +182,5 @@
 
 def _build_answer(status: int, kind: str, body: bytes) -> calls.HttpAnswer:
     return calls.HttpAnswer(
-        status, (messages.Header("content-type", kind),), body
+        status, (httpfields.Header("content-type", kind),), body
     )
--- a/cyclamenwell/node/problems.py
+++ b/cyclamenwell/node/problems.py
@@ -9,7 +9,7 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 from cyclamenwell.node import calls
 from cyclamenwell.node import headers
 
@@ -51,15 +51,15 @@
         "outcome": outcome,
     }
     added = [
-        messages.Header("content-type", "application/problem+json"),
-        messages.Header(headers.OUTCOME, outcome),
+        httpfields.Header("content-type", "application/problem+json"),
+        httpfields.Header(headers.OUTCOME, outcome),
     ]
     retry_after = refusal.retry_after
     if not retry_after and answer.status in _PASSING_STATUSES:
         retry_after = _DEFAULT_RETRY
     if retry_after:
         seconds = max(math.ceil(retry_after.seconds), 1)
-        added.append(messages.Header("retry-after", str(seconds)))
+        added.append(httpfields.Header("retry-after", str(seconds)))
     return calls.HttpAnswer(
         answer.status, tuple(added), json.dumps(body).encode()
     )
--- a/cyclamenwell/node/tests/test_webserver.py
+++ b/cyclamenwell/node/tests/test_webserver.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cyclamenwell import clock
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 from cyclamenwell.node import calls
 from cyclamenwell.node import http1
 from cyclamenwell.node import webserver
@@ -27,7 +27,7 @@
         status = 204 if request.path == "/empty" else 200
         if request.path == "/reset":
             status = 205
-        name = messages.Header("x-path", request.path)
+        name = httpfields.Header("x-path", request.path)
         return calls.HttpAnswer(status, (name,), request.body)
 
     made = webserver.WebServer("127.0.0.1", 0, answer)
--- a/cyclamenwell/peers/tests/test_transport.py
+++ b/cyclamenwell/peers/tests/test_transport.py
@@ -10,6 +10,7 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import httpfields
 from cyclamenwell.generated import messages
 from cyclamenwell.peers import client as peer_clients
 from cyclamenwell.peers import server as peer_servers
@@ -31,7 +32,7 @@
     message = messages.ForwardReply(
         call_id=b"\x00\xff",
         refusal=enumerations.ErrorKind.OVERLOADED,
-        headers=(messages.Header("a", "\u00e9"),),
+        headers=(httpfields.Header("a", "\u00e9"),),
         load=messages.LoadReport(state=enumerations.InstanceState.LEAVING),
     )
     decoded = wire.decode(wire.encode(message))
--- a/cyclamenwell/peers/wire.py
+++ b/cyclamenwell/peers/wire.py
@@ -5,17 +5,12 @@
 import socket
 import struct
 import time
-from typing import Any
-
-from thrift import Thrift
-from thrift.protocol import TBinaryProtocol
-from thrift.protocol import fastbinary
-from thrift.transport import TTransport
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell import sockets
 from cyclamenwell.generated import messages
+from cyclamenwell.peers import codec
 
 __all__ = ["MAX_FRAME_BYTES", "decode", "encode", "receive_frame", "send_frame"]
 
@@ -25,78 +20,9 @@
 _RECEIVED_BYTES = 64 * 1024
 
 
-def _encode_beginning(cls: type) -> bytes:
-    transport = TTransport.TMemoryBuffer()
-    TBinaryProtocol.TBinaryProtocol(transport).writeMessageBegin(
-        cls.__name__, Thrift.TMessageType.CALL, 0
-    )
-    return transport.getvalue()
-
-
-# What precedes the struct is the same in all messages of a class. No beginning
-# is the beginning of another one, as it holds the length of the name.
-_BEGINNINGS = {
-    cls: _encode_beginning(cls) for cls in messages.WIRE_TYPES.values()
-}
-
-
-def encode(message: Any) -> bytes:
-    """Encode a message.
-
-    Parameters
-    ----------
-    message : object
-        Instance of a class in `messages`.
-
-    Returns
-    -------
-    bytes
-        Thrift message whose name is that of the class.
-    """
-    cls = type(message)
-    fields = fastbinary.encode_binary(message, [cls, cls.THRIFT_SPEC])
-    return _BEGINNINGS[cls] + fields
-
-
-def decode(frame: bytes) -> Any:
-    """Decode a message.
-
-    Parameters
-    ----------
-    frame : bytes
-        Bytes of one frame.
-
-    Returns
-    -------
-    object
-        Instance of a class in `messages`.
-
-    Raises
-    ------
-    exceptions.ProtocolError
-        If the frame is not a message of the protocol.
-    """
-    cls = _find_class(frame)
-    protocol = TBinaryProtocol.TBinaryProtocol(
-        TTransport.TMemoryBuffer(frame, len(_BEGINNINGS[cls]))
-    )
-    try:
-        return fastbinary.decode_binary(None, protocol, [cls, cls.THRIFT_SPEC])
-    except Exception as error:
-        # The codec raises many types on malformed input, EOFError, TypeError,
-        # UnicodeDecodeError and its own among them.
-        raise exceptions.ProtocolError(
-            f"frame of {len(frame)} bytes is no {cls.__name__}: {error!r}"
-        ) from error
-
-
-def _find_class(frame: bytes) -> type:
-    for cls, beginning in _BEGINNINGS.items():
-        if frame.startswith(beginning):
-            return cls
-    raise exceptions.ProtocolError(
-        f"frame of {len(frame)} bytes is no known message: {frame[:40]!r}"
-    )
+_CODEC = codec.Codec(messages.WIRE_TYPES)
+encode = _CODEC.encode
+decode = _CODEC.decode
 
 
 def send_frame(
--- /dev/null
+++ b/cyclamenwell/platform/decoder.py
@@ -0,0 +1,196 @@
+"""Decoding of published items into types of the project."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import Iterator
+from collections.abc import Mapping
+import json
+from typing import Any
+
+from cyclamenwell import exceptions
+from cyclamenwell.generated import deployment
+from cyclamenwell.generated import enumerations
+from cyclamenwell.platform import names
+
+__all__ = ["decode_item"]
+
+_KINDS = {
+    "idempotent": enumerations.RequestKind.IDEMPOTENT,
+    "non_idempotent": enumerations.RequestKind.NON_IDEMPOTENT,
+    "upload": enumerations.RequestKind.UPLOAD,
+}
+_STATES = {
+    "ready": enumerations.InstanceState.SERVING,
+    "draining": enumerations.InstanceState.LEAVING,
+}
+
+
+def decode_item(raw: Mapping[str, Any]) -> deployment.PublishedItem:
+    """Decode an item or an event of the store.
+
+    Parameters
+    ----------
+    raw : mapping
+        JSON object with the key, the revision, and the value or a tombstone.
+
+    Returns
+    -------
+    deployment.PublishedItem
+        The item. A target's entry that can not be read has no target.
+
+    Raises
+    ------
+    exceptions.PlatformError
+        If key or revision are missing, or a configuration can not be read.
+    """
+    key, revision = raw.get("key"), raw.get("revision")
+    if not isinstance(key, str) or not isinstance(revision, int):
+        raise exceptions.PlatformError(f"an item lacks key or revision: {raw}")
+    if raw.get("tombstone"):
+        return deployment.PublishedItem(key, revision, removed=True)
+    if key.startswith(names.EVACUATION_PREFIX):
+        return deployment.PublishedItem(
+            key, revision, data_centre_out=key[len(names.EVACUATION_PREFIX) :]
+        )
+    if key == names.CONFIGURATION_KEY:
+        return deployment.PublishedItem(
+            key, revision, configuration=_decode_configuration(raw)
+        )
+    if key.startswith(names.TARGET_PREFIX):
+        target_id = key[len(names.TARGET_PREFIX) :]
+        return deployment.PublishedItem(
+            key, revision, target=_decode_target(target_id, raw)
+        )
+    return deployment.PublishedItem(key, revision)
+
+
+def _load_value(raw: Mapping[str, Any]) -> Any:
+    return json.loads(base64.b64decode(raw["value"], validate=True))
+
+
+def _decode_target(
+    target_id: str, raw: Mapping[str, Any]
+) -> deployment.TargetEntry | None:
+    """Return the entry, or None if another writer made it unreadable."""
+    try:
+        value = _load_value(raw)
+        info, status = value["info"], value["status"]
+        host, _, port = value["address"].rpartition(":")
+        # Compared with type() as JSON's true would pass for a number.
+        if type(info["slots"]) is not int or info["slots"] < 1 or not host:
+            return None
+        if not all(isinstance(info[n], str) for n in ("service", "zone")):
+            return None
+        cold = status.get("cold_remaining_ms") or 0
+        born = value.get("born")
+        return deployment.TargetEntry(
+            target_id=target_id,
+            service=info["service"],
+            host=host,
+            port=int(port),
+            data_centre=info["zone"],
+            slots=info["slots"],
+            state=_STATES[status["state"]],
+            cold_remaining_ms=float(cold),
+            born_ms=born if type(born) is int else 0,
+        )
+    except (
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+        binascii.Error,
+        RecursionError,
+    ):
+        return None
+
+
+def _decode_configuration(raw: Mapping[str, Any]) -> deployment.Configuration:
+    try:
+        value = _load_value(raw)
+        return deployment.Configuration(
+            version=int(value["version"], 16),
+            routes=tuple(map(_decode_route, _read_rows(value, "routes"))),
+            services=tuple(map(_decode_service, _read_rows(value, "services"))),
+            organisations=tuple(
+                map(_decode_organisation, _read_rows(value, "tenants"))
+            ),
+            limits=_decode_limits(value.get("limits") or {}),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise exceptions.PlatformError(
+            f"the configuration can not be read: {error!r}"
+        ) from error
+
+
+def _read_rows(value: Mapping[str, Any], name: str) -> Iterator[dict[str, Any]]:
+    """Yield a dictionary for each row of a table, without null fields."""
+    table = value.get(name)
+    if not table:
+        return
+    columns = table["columns"]
+    for row in table["rows"]:
+        yield {
+            column: field
+            for column, field in zip(columns, row, strict=True)
+            if field is not None
+        }
+
+
+def _decode_route(row: Mapping[str, Any]) -> deployment.Route:
+    parts = row.get("traffic_split") or [{"service": row["service"]}]
+    return deployment.Route(
+        name=row["name"],
+        host=row["host"].lower(),
+        prefix=row["prefix"],
+        kind=_KINDS[row["kind"]],
+        timeout_ms=float(row["timeout_ms"]),
+        objective_ms=float(row.get("target_latency_ms") or row["timeout_ms"]),
+        priority=int(row.get("priority", 0)),
+        services=tuple(
+            deployment.WeightedService(
+                part["service"], float(part.get("weight", 1))
+            )
+            for part in parts
+        ),
+        max_attempts=max(int(row.get("max_attempts", 1)), 1),
+        is_public=bool(row.get("public", False)),
+    )
+
+
+def _decode_service(row: Mapping[str, Any]) -> deployment.ServiceInfo:
+    return deployment.ServiceInfo(
+        name=row["name"],
+        health_path=row.get("health_path", ""),
+        max_connections=int(row.get("max_connections", 0)),
+        cold_start_ms=float(row.get("cold_start_s", 0)) * 1000.0,
+        cold_rate_per_second=float(row.get("cold_per_s", 0)),
+    )
+
+
+def _decode_organisation(row: Mapping[str, Any]) -> deployment.Organisation:
+    return deployment.Organisation(
+        name=row["name"],
+        keys=tuple(row.get("api_keys", ())),
+        priority=row.get("priority"),
+        rate_per_second=float(row.get("rate_per_s", 0)),
+        burst=float(row.get("burst", 0)),
+    )
+
+
+def _decode_limits(raw: Mapping[str, Any]) -> deployment.ClientLimits:
+    default = deployment.ClientLimits()
+    return deployment.ClientLimits(
+        max_header_bytes=int(
+            raw.get("max_header_bytes") or default.max_header_bytes
+        ),
+        max_body_bytes=int(raw.get("max_body_bytes") or default.max_body_bytes),
+        header_timeout_ms=float(
+            raw.get("header_timeout_ms") or default.header_timeout_ms
+        ),
+        idle_timeout_ms=float(
+            raw.get("idle_timeout_ms") or default.idle_timeout_ms
+        ),
+    )
--- /dev/null
+++ b/cyclamenwell/platform/names.py
@@ -0,0 +1,42 @@
+"""Names that the platform, callers and targets use on the wire."""
+
+from __future__ import annotations
+
+__all__ = [
+    "API_KEY",
+    "CALLER_SERVICE",
+    "COLD_MS",
+    "DEADLINE_MS",
+    "INSTANCE_ID",
+    "NOT_EXECUTED",
+    "OPERATOR_PREFIX",
+    "REQUEST_ID",
+    "RESPONSE_SEAL",
+    "RETRY_AFTER",
+    "SETTINGS_VARIABLE",
+    "TARGET_INSTANCE",
+    "TARGET_PREFIX",
+    "TENANT",
+]
+
+# Environment variable with the path of the settings file.
+SETTINGS_VARIABLE = "CYCLAMENWELL_NODE_FILE"
+
+# Headers, in lower case.
+API_KEY = "x-api-key"
+CALLER_SERVICE = "caller-service"
+COLD_MS = "cold-ms"
+DEADLINE_MS = "deadline-ms"
+INSTANCE_ID = "instance-id"
+NOT_EXECUTED = "not-executed"
+REQUEST_ID = "request-id"
+RESPONSE_SEAL = "response-seal"
+RETRY_AFTER = "retry-after"
+TARGET_INSTANCE = "target-instance"
+TENANT = "tenant"
+
+# Keys of the store.
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+TARGET_PREFIX = "servers/"
--- /dev/null
+++ b/cyclamenwell/platform/settings.py
@@ -0,0 +1,152 @@
+"""Reading of the platform's settings file."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import pathlib
+from typing import Any
+
+import yaml
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.generated import sidecar
+
+__all__ = ["read_settings"]
+
+_Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+# The platform gives each node a range of ports for traffic between nodes; the
+# first one takes messages and the last one serves metrics.
+_DEFAULT_PORTS = (7000, 7015)
+
+
+def read_settings(path: pathlib.Path) -> sidecar.SidecarSettings:
+    """Read the settings file of a process.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        YAML file. Fields that are not known are ignored, since the platform
+        may add some.
+
+    Returns
+    -------
+    sidecar.SidecarSettings
+        The settings.
+
+    Raises
+    ------
+    exceptions.SettingsError
+        If the file can not be read or a field that is needed is missing or
+        has another type.
+    """
+    try:
+        raw = yaml.load(path.read_text("utf-8"), Loader=_Loader)
+    except (OSError, ValueError, yaml.YAMLError) as error:
+        raise exceptions.SettingsError((f"{path}: {error}",)) from error
+    if not isinstance(raw, Mapping):
+        raise exceptions.SettingsError((f"{path}: must be a mapping",))
+    return _Decoder(path, raw).decode()
+
+
+class _Decoder:
+    """Decodes the fields of one file and names the place of a problem."""
+
+    def __init__(self, path: pathlib.Path, raw: Mapping[str, Any]) -> None:
+        self._path = path
+        self._raw = raw
+
+    def decode(self) -> sidecar.SidecarSettings:
+        listen = self._read_table(self._raw, "listen")
+        provider = self._read_table(self._raw, "provider")
+        ports = self._raw.get("internal_port_range") or _DEFAULT_PORTS
+        ready = listen.get("ready")
+        return sidecar.SidecarSettings(
+            name=self._read_text(self._raw, "node"),
+            service=self._read_text(self._raw, "service"),
+            data_centre=self._read_text(self._raw, "zone"),
+            region=str(self._raw.get("region") or ""),
+            host=self._read_text(self._raw, "ip"),
+            caller_address=self._read_address(listen, "outbound"),
+            ready_address=(
+                self._read_address(listen, "ready")
+                if ready
+                else sidecar.SocketAddress()
+            ),
+            peer_port=int(ports[0]),
+            metrics_port=int(ports[-1]),
+            target_address=self._read_address(self._raw, "app_addr"),
+            seeds=tuple(
+                self._split_address(str(seed), "seeds")
+                for seed in self._raw.get("seeds") or ()
+            ),
+            store=sidecar.StoreSettings(
+                address=self._read_address(provider, "address"),
+                reads_per_second=float(provider.get("reads_per_s") or 1000.0),
+            ),
+            bounds=self._decode_bounds(),
+        )
+
+    def _decode_bounds(self) -> sidecar.Bounds:
+        """Return the bounds, with the schema's defaults for missing ones."""
+        raw = self._raw.get("bounds") or {}
+        milliseconds = {
+            "drain": (raw.get("drain_ms"), 1.0),
+            "grace": (raw.get("grace_s"), 1000.0),
+            "configuration": (raw.get("config_apply_ms"), 1.0),
+            "retry_window": (raw.get("budget_window_s"), 1000.0),
+            "limit_window": (raw.get("quota_window_s"), 1000.0),
+            "reappearance": (raw.get("reuse_after_s"), 1000.0),
+        }
+        numbers = {
+            "retry_ratio": raw.get("retry_budget_ratio"),
+            "retry_slack": raw.get("budget_slack"),
+            "limit_excess": raw.get("quota_overshoot"),
+            "limit_slack": raw.get("quota_slack"),
+            "cold_excess": raw.get("cold_overshoot"),
+            "cold_slack": raw.get("cold_slack"),
+        }
+        values: dict[str, Any] = {}
+        for name, (value, factor) in milliseconds.items():
+            if _is_number(value):
+                values[name] = clock.Milliseconds(value * factor)
+        for name, value in numbers.items():
+            if _is_number(value):
+                values[name] = float(value)
+        return sidecar.Bounds(**values)
+
+    def _read_table(
+        self, table: Mapping[str, Any], name: str
+    ) -> Mapping[str, Any]:
+        value = table.get(name)
+        if not isinstance(value, Mapping):
+            raise self._refuse(name, value, "a mapping")
+        return value
+
+    def _read_text(self, table: Mapping[str, Any], name: str) -> str:
+        value = table.get(name)
+        if not isinstance(value, str) or not value:
+            raise self._refuse(name, value, "a string")
+        return value
+
+    def _read_address(
+        self, table: Mapping[str, Any], name: str
+    ) -> sidecar.SocketAddress:
+        return self._split_address(self._read_text(table, name), name)
+
+    def _split_address(self, value: str, name: str) -> sidecar.SocketAddress:
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit():
+            raise self._refuse(name, value, "an IP number with a port")
+        return sidecar.SocketAddress(host, int(port))
+
+    def _refuse(
+        self, name: str, value: object, wanted: str
+    ) -> exceptions.SettingsError:
+        return exceptions.SettingsError(
+            (f"{self._path}: {name}: got {value!r}, must be {wanted}",)
+        )
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, (int, float)) and not isinstance(value, bool)
--- /dev/null
+++ b/cyclamenwell/retries/repeats.py
@@ -0,0 +1,87 @@
+"""Whether a request may be sent to another target after a failed attempt.
+
+The load that this answers: many requests that fail at once. A request goes to
+another target free of charge while none has seen it; after that it may repeat
+only if it is idempotent or a target said that it did not run it, within the
+route's number of targets and the budget of repeated arrivals.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from cyclamenwell.generated import enumerations
+
+__all__ = ["Attempts", "Repeat", "decide_repeat"]
+
+_Kind = enumerations.ErrorKind
+# Offers that a request makes before it is refused; each takes a round trip.
+_MAX_OFFERS = 5
+_HOPELESS = frozenset({_Kind.BAD_REQUEST, _Kind.ANSWER_TOO_LARGE})
+
+
+class Repeat(enum.Enum):
+    """What may follow a failed attempt."""
+
+    NONE = 1
+    FREE = 2
+    FROM_BUDGET = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempts:
+    """Attempts of a request so far.
+
+    Parameters
+    ----------
+    offers : int
+        Times that it was offered to a node.
+    arrivals : int
+        Times that it may have reached a target.
+    may_have_run : bool
+        Whether a target may have run it.
+    """
+
+    offers: int = 0
+    arrivals: int = 0
+    may_have_run: bool = False
+
+    def add(self, reached_target: bool, not_run: bool) -> Attempts:
+        """Return the attempts with one more."""
+        return Attempts(
+            self.offers + 1,
+            self.arrivals + (1 if reached_target else 0),
+            self.may_have_run or not not_run,
+        )
+
+
+def decide_repeat(
+    attempts: Attempts,
+    kind: enumerations.RequestKind,
+    max_attempts: int,
+    failure: enumerations.ErrorKind,
+) -> Repeat:
+    """Return whether another target may get a request.
+
+    Parameters
+    ----------
+    attempts : Attempts
+        Attempts so far.
+    kind : enumerations.RequestKind
+        Whether the request may run more than once.
+    max_attempts : int
+        Most targets that the request may be sent to.
+    failure : enumerations.ErrorKind
+        How the last attempt failed.
+    """
+    if failure in _HOPELESS or attempts.offers >= _MAX_OFFERS:
+        return Repeat.NONE
+    is_repeatable = kind is enumerations.RequestKind.IDEMPOTENT
+    if attempts.may_have_run and not is_repeatable:
+        return Repeat.NONE
+    if not attempts.arrivals:
+        return Repeat.FREE
+    if attempts.arrivals >= max_attempts:
+        return Repeat.NONE
+    return Repeat.FROM_BUDGET
--- a/cyclamenwell/schema/generator.py
+++ b/cyclamenwell/schema/generator.py
@@ -22,11 +22,15 @@
 _ROOT = _PACKAGE.parent
 _SOURCES = (
     "enumerations",
+    "httpfields",
     "messages",
     "documents",
     "settings",
     "experiments",
+    "deployment",
+    "sidecar",
 )
+_WIRE_SOURCES = frozenset({"httpfields", "messages", "deployment"})
 
 _THRIFT_TYPES = {
     "bool": "BOOL",
@@ -89,7 +93,13 @@
     """Names of enumerations and structs, to resolve field types."""
 
     enums: frozenset[str]
-    structs: frozenset[str]
+    structs: dict[str, str]  # Name of the struct to its module.
+    module: str  # Module that is being rendered.
+
+    def qualify(self, struct: str) -> str:
+        """Return the name of a struct as the rendered module writes it."""
+        module = self.structs[struct]
+        return struct if module == self.module else f"{module}.{struct}"
 
 
 def _load(name: str) -> dict[str, Any]:
@@ -109,7 +119,7 @@
     if declared in names.enums:
         return f"enumerations.{declared}"
     if declared in names.structs:
-        return declared
+        return names.qualify(declared)
     return _PYTHON_TYPES[declared]
 
 
@@ -130,7 +140,7 @@
     if _split_list(declared) is not None:
         return "()"
     if declared in names.structs:
-        return f"{declared}()"
+        return f"{names.qualify(declared)}()"
     if declared in names.enums:
         raise ValueError(f"field {raw['name']!r} needs a default")
     return _ZERO_VALUES[declared]
@@ -151,7 +161,7 @@
     if declared in names.enums:
         return f"enumerations.{declared}"
     if declared in names.structs:
-        return declared
+        return names.qualify(declared)
     return "None"
 
 
@@ -186,7 +196,8 @@
     if declared in names.enums:
         return "I32", "None"
     if declared in names.structs:
-        return "STRUCT", f"[{declared}, {declared}.THRIFT_SPEC]"
+        struct = names.qualify(declared)
+        return "STRUCT", f"[{struct}, {struct}.THRIFT_SPEC]"
     argument = {"string": "'UTF8'", "binary": "'BINARY'"}.get(declared, "None")
     return _THRIFT_TYPES[declared], argument
 
@@ -241,6 +252,18 @@
         )
 
 
+def _list_imports(
+    structs: tuple[Struct, ...], modules: dict[str, str], name: str
+) -> list[str]:
+    """Return the generated modules whose structs a module refers to."""
+    used = {
+        modules.get(_split_list(field.declared) or field.declared, name)
+        for struct in structs
+        for field in struct.fields
+    }
+    return sorted(used - {name})
+
+
 def generate_files() -> dict[pathlib.Path, str]:
     """Render every generated file.
 
@@ -252,17 +275,24 @@
     Raises
     ------
     ValueError
-        If the schema lacks a default that the code needs.
+        If the schema lacks a default that the code needs, or names a struct
+        twice.
     """
     sources = {name: _load(name) for name in _SOURCES}
-    names = _Names(
-        enums=frozenset(sources["enumerations"]["enums"]),
-        structs=frozenset(
-            name
-            for source in sources.values()
-            for name in source.get("structs", {})
-        ),
-    )
+    enums = frozenset(sources["enumerations"]["enums"])
+    modules: dict[str, str] = {}
+    for name, source in sources.items():
+        for struct in source.get("structs", {}):
+            if struct in modules:
+                raise ValueError(
+                    f"struct {struct!r} stands in {modules[struct]!r} and "
+                    f"in {name!r}"
+                )
+            modules[struct] = name
+    built = {
+        name: tuple(_build_structs(sources[name], _Names(enums, modules, name)))
+        for name in _SOURCES[1:]
+    }
     environment = jinja2.Environment(
         loader=jinja2.FileSystemLoader(_SCHEMA / "templates"),
         undefined=jinja2.StrictUndefined,
@@ -282,15 +312,24 @@
             "messages.thrift.jinja"
         ).render(
             enums=sources["enumerations"]["enums"],
-            structs=tuple(_build_structs(sources["messages"], names)),
+            structs=tuple(
+                struct
+                for name in _SOURCES[1:]
+                if name in _WIRE_SOURCES
+                for struct in built[name]
+            ),
         ),
     }
-    for name in _SOURCES[1:]:
-        structs = tuple(_build_structs(sources[name], names))
+    for name, structs in built.items():
         files[generated / f"{name}.py"] = environment.get_template(
             "structs.py.jinja"
-        ).render(source=sources[name], structs=structs, wire=name == "messages")
-        if name != "messages":
+        ).render(
+            source=sources[name],
+            structs=structs,
+            wire=name in _WIRE_SOURCES,
+            imported=_list_imports(structs, modules, name),
+        )
+        if name not in _WIRE_SOURCES:
             files[_ROOT / "docs" / f"{name}.md"] = environment.get_template(
                 "reference.md.jinja"
             ).render(
--- /dev/null
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -0,0 +1,387 @@
+"""Bringing a request to a target and its answer back."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.admission import patience
+from cyclamenwell.configuration import published
+from cyclamenwell.generated import deployment
+from cyclamenwell.generated import enumerations
+from cyclamenwell.generated import sidecar
+from cyclamenwell.retries import arrivals
+from cyclamenwell.retries import repeats
+from cyclamenwell.routing import placement as placements
+from cyclamenwell.sidecar import executor as executors
+from cyclamenwell.sidecar import figures as figure_module
+from cyclamenwell.sidecar import peers
+from cyclamenwell.telemetry import journal
+
+__all__ = ["Dispatcher", "RoutedCall"]
+
+_Kind = enumerations.ErrorKind
+# Failures after which a target is left alone for a while.
+_AWAY = frozenset(
+    {
+        _Kind.LEAVING,
+        _Kind.NO_INSTANCE,
+        _Kind.PEER_UNREACHABLE,
+        _Kind.TARGET_UNREACHABLE,
+        _Kind.WRONG_INSTANCE,
+    }
+)
+# Beyond the wait in the other node's queue: a round trip between data centres
+# and a busy moment of the other node.
+_GRANT_SLACK = clock.Milliseconds(300)
+# A body up to this size goes along with the offer of an idempotent request.
+_MAX_INLINE_BYTES = 4096
+# The answer leaves the node so long before the time is over.
+_ANSWER_MARGIN = clock.Milliseconds(10)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutedCall:
+    """A request with what the entry node established.
+
+    Parameters
+    ----------
+    request_id : str
+        Identity of the request.
+    route : deployment.Route
+        Route in force when it came.
+    service : str
+        Service that shall run it.
+    organisation : str
+        Organisation of the caller, empty if there is none.
+    priority : int
+        Rank, 0 for the most important.
+    is_further : bool
+        Whether a running request waits for this one.
+    begun : clock.Milliseconds
+        When it came.
+    deadline : clock.Milliseconds
+        When the final answer has to be there.
+    request : deployment.ForwardedRequest
+        The request for the target.
+    """
+
+    request_id: str
+    route: deployment.Route
+    service: str
+    organisation: str
+    priority: int
+    is_further: bool
+    begun: clock.Milliseconds
+    deadline: clock.Milliseconds
+    request: deployment.ForwardedRequest
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far an attempt has come.
+
+    Parameters
+    ----------
+    is_sent : bool
+        Whether the request itself may have left for a target.
+    """
+
+    is_sent: bool = False
+
+
+class Dispatcher:
+    """Offers requests to targets until one answers.
+
+    Parameters
+    ----------
+    settings : sidecar.SidecarSettings
+        Settings of the node.
+    time : clock.Clock
+        Clock of deadlines.
+    state : published.PublishedState
+        Targets and data centres taken out.
+    placement : placements.Placement
+        Chooses targets.
+    budget : arrivals.ArrivalBudget
+        Bounds repeated arrivals.
+    executor : executors.Executor
+        Runs requests at the own target.
+    links : peers.LinkPool
+        Links to other nodes.
+    log : journal.Journal
+        Takes decisions.
+    figures : figure_module.Figures
+        Counts outcomes.
+    """
+
+    def __init__(
+        self,
+        settings: sidecar.SidecarSettings,
+        time: clock.Clock,
+        state: published.PublishedState,
+        placement: placements.Placement,
+        budget: arrivals.ArrivalBudget,
+        executor: executors.Executor,
+        links: peers.LinkPool,
+        log: journal.Journal,
+        figures: figure_module.Figures,
+    ) -> None:
+        self._settings = settings
+        self._time = time
+        self._state = state
+        self._placement = placement
+        self._budget = budget
+        self._executor = executor
+        self._links = links
+        self._log = log
+        self._figures = figures
+
+    async def run(self, call: RoutedCall) -> deployment.Result:
+        """Return the whole answer of a target.
+
+        Raises
+        ------
+        exceptions.RefusedError
+            If no target answered. Its kind promises that the request has not
+            run only if no target may have run it.
+        """
+        self._budget.note_request(call.service)
+        attempts = repeats.Attempts()
+        tried: set[str] = set()
+        failure: executors.AttemptError | None = None
+        while True:
+            entry = self._choose(call, tried)
+            if entry is None:
+                raise self._conclude(call, attempts, failure)
+            tried.add(entry.target_id)
+            try:
+                return await self._attempt(call, entry)
+            except executors.AttemptError as error:
+                failure = error
+            attempts = attempts.add(failure.reached_target, failure.not_run)
+            self._log.record(
+                "attempt.failed",
+                request=call.request_id,
+                target=entry.target_id,
+                kind=failure.kind.name,
+                detail=failure.detail,
+                not_run=failure.not_run,
+                left_ms=round((call.deadline - self._time.now()).value),
+            )
+            if not self._may_repeat(call, attempts, failure):
+                raise self._conclude(call, attempts, failure)
+
+    def _may_repeat(
+        self,
+        call: RoutedCall,
+        attempts: repeats.Attempts,
+        failure: executors.AttemptError,
+    ) -> bool:
+        if call.deadline - self._time.now() <= _ANSWER_MARGIN:
+            return False
+        repeat = repeats.decide_repeat(
+            attempts, call.route.kind, call.route.max_attempts, failure.kind
+        )
+        if repeat is repeats.Repeat.FROM_BUDGET:
+            return self._budget.spend(call.service)
+        return repeat is repeats.Repeat.FREE
+
+    def _choose(
+        self, call: RoutedCall, tried: set[str]
+    ) -> deployment.TargetEntry | None:
+        return self._placement.choose(
+            self._state.list_targets(call.service),
+            self._state.data_centres_out,
+            tried,
+            call.route.name,
+            len(call.request.body),
+        )
+
+    async def _attempt(
+        self, call: RoutedCall, entry: deployment.TargetEntry
+    ) -> deployment.Result:
+        self._placement.begin(entry.target_id)
+        progress = _Progress()
+        try:
+            async with asyncio.timeout(self._find_remaining(call).seconds):
+                if entry.host == self._settings.host:
+                    result = await self._run_here(call, entry, progress)
+                else:
+                    result = await self._run_there(call, entry, progress)
+        except TimeoutError as error:
+            raise executors.AttemptError(
+                _Kind.TIMED_OUT if progress.is_sent else _Kind.OVERLOADED,
+                "no answer in time",
+                reached_target=progress.is_sent,
+                not_run=not progress.is_sent,
+            ) from error
+        except executors.AttemptError as error:
+            self._note_failure(entry, error)
+            raise
+        finally:
+            self._placement.end(entry.target_id)
+        self._placement.note_answer(
+            entry.target_id,
+            call.route.name,
+            clock.Milliseconds(result.service_ms),
+        )
+        self._placement.note_load(result.load)
+        return result
+
+    def _note_failure(
+        self, entry: deployment.TargetEntry, error: executors.AttemptError
+    ) -> None:
+        if error.kind in _AWAY:
+            self._placement.pause(entry.target_id)
+        elif not error.not_run:
+            self._placement.note_failure(entry.target_id)
+
+    async def _run_here(
+        self,
+        call: RoutedCall,
+        entry: deployment.TargetEntry,
+        progress: _Progress,
+    ) -> deployment.Result:
+        offer = self._build_offer(call, entry, request=None)
+        async with self._executor.reserve(offer) as slot:
+            progress.is_sent = True
+            return await self._executor.run(
+                offer, call.request, call.deadline, slot
+            )
+
+    async def _run_there(
+        self,
+        call: RoutedCall,
+        entry: deployment.TargetEntry,
+        progress: _Progress,
+    ) -> deployment.Result:
+        is_inline = (
+            call.route.kind is enumerations.RequestKind.IDEMPOTENT
+            and len(call.request.body) <= _MAX_INLINE_BYTES
+        )
+        offer = self._build_offer(
+            call, entry, request=call.request if is_inline else None
+        )
+        try:
+            async with self._links.borrow(entry.host) as link:
+                progress.is_sent = is_inline
+                await link.send(offer)
+                wait = clock.Milliseconds(offer.max_wait_ms) + _GRANT_SLACK
+                granted = await self._receive(link, wait, entry)
+                if not isinstance(granted, deployment.Grant):
+                    return self._read_reply(granted, entry)
+                if not is_inline:
+                    progress.is_sent = True
+                    await link.send(
+                        deployment.Start(
+                            call.request_id,
+                            self._find_remaining(call).value,
+                            call.request,
+                        )
+                    )
+                reply = await self._receive(
+                    link, self._find_remaining(call), entry
+                )
+                return self._read_reply(reply, entry)
+        except (OSError, exceptions.ProtocolError) as error:
+            self._links.drop(entry.host)
+            raise _describe_broken_link(
+                entry, error, progress.is_sent
+            ) from error
+        except exceptions.PeerUnavailableError as error:
+            raise _describe_broken_link(entry, error, False) from error
+
+    async def _receive(
+        self,
+        link: peers.Link,
+        max_wait: clock.Milliseconds,
+        entry: deployment.TargetEntry,
+    ) -> object:
+        message = await link.receive(max_wait)
+        if message is None:
+            raise exceptions.ProtocolError(
+                f"the node of {entry.target_id} closed the connection"
+            )
+        return message
+
+    def _read_reply(
+        self, reply: object, entry: deployment.TargetEntry
+    ) -> deployment.Result:
+        if isinstance(reply, deployment.Result):
+            return reply
+        if not isinstance(reply, deployment.Refusal):
+            raise exceptions.ProtocolError(
+                f"{type(reply).__name__} from the node of {entry.target_id}"
+            )
+        self._placement.note_load(reply.load)
+        raise executors.AttemptError(
+            reply.kind,
+            reply.detail,
+            reached_target=reply.reached_target,
+            not_run=reply.not_run,
+            retry_after=clock.Milliseconds(reply.retry_after_ms),
+        )
+
+    def _build_offer(
+        self,
+        call: RoutedCall,
+        entry: deployment.TargetEntry,
+        request: deployment.ForwardedRequest | None,
+    ) -> deployment.Offer:
+        remaining = self._find_remaining(call)
+        max_wait = patience.find_max_wait(
+            call.is_further,
+            clock.Milliseconds(call.route.objective_ms),
+            remaining,
+            self._placement.find_usual_time(call.route.name),
+        )
+        return deployment.Offer(
+            request_id=call.request_id,
+            service=call.service,
+            target_id=entry.target_id,
+            kind=call.route.kind,
+            priority=call.priority,
+            is_further=call.is_further,
+            remaining_ms=remaining.value,
+            max_wait_ms=max_wait.value,
+            organisation=call.organisation,
+            caller_service=self._settings.service,
+            request=request,
+        )
+
+    def _find_remaining(self, call: RoutedCall) -> clock.Milliseconds:
+        return call.deadline - self._time.now() - _ANSWER_MARGIN
+
+    def _conclude(
+        self,
+        call: RoutedCall,
+        attempts: repeats.Attempts,
+        failure: executors.AttemptError | None,
+    ) -> exceptions.RefusedError:
+        """Return the failure that the caller gets."""
+        if failure is None:
+            return exceptions.RefusedError(
+                _Kind.NO_INSTANCE, f"no target of {call.service} is available"
+            )
+        if not attempts.may_have_run:
+            return failure
+        kind = failure.kind if not failure.not_run else _Kind.INCOMPLETE_ANSWER
+        return exceptions.RefusedError(kind, failure.detail)
+
+
+def _describe_broken_link(
+    entry: deployment.TargetEntry, error: Exception, is_sent: bool
+) -> executors.AttemptError:
+    """Return the failure of an attempt whose link broke.
+
+    Before the request itself was sent, the other node had nothing to run.
+    """
+    return executors.AttemptError(
+        _Kind.INCOMPLETE_ANSWER if is_sent else _Kind.PEER_UNREACHABLE,
+        f"the node of {entry.target_id} is not reached: {error!r}",
+        reached_target=is_sent,
+        not_run=not is_sent,
+    )
--- /dev/null
+++ b/cyclamenwell/sidecar/http_client.py
@@ -0,0 +1,206 @@
+"""HTTP/1.1 exchanges over a stream, for targets and the platform's store."""
+
+from __future__ import annotations
+
+import collections
+import re
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.generated import enumerations
+from cyclamenwell.node import calls
+from cyclamenwell.node import http1
+from cyclamenwell.sidecar import streams
+
+__all__ = ["HttpConnection", "HttpPool", "encode_request"]
+
+_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_REQUEST_LINE = re.compile(
+    r"[!#$%&'*+.^_`|~0-9A-Za-z-]+ /[\x21-\x7e]* HTTP/1\.1"
+)
+_WITH_LENGTH = frozenset({"POST", "PUT", "PATCH"})
+
+
+def encode_request(
+    method: str, path: str, fields: list[tuple[str, str]], body: bytes
+) -> bytes:
+    """Return the bytes of a request.
+
+    Raises
+    ------
+    exceptions.RefusedError
+        As BAD_REQUEST if a forbidden character could make the receiver read
+        two requests.
+    """
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields]
+    if body or method in _WITH_LENGTH:
+        lines.append(f"content-length: {len(body)}")
+    head = "\r\n".join(lines)
+    breaks = len(lines) - 1
+    if (
+        _REQUEST_LINE.fullmatch(lines[0]) is None
+        or head.count("\r") != breaks
+        or head.count("\n") != breaks
+        or "\0" in head
+    ):
+        raise exceptions.RefusedError(
+            enumerations.ErrorKind.BAD_REQUEST,
+            "the request holds a forbidden character",
+        )
+    return head.encode("latin-1", "replace") + b"\r\n\r\n" + body
+
+
+class HttpConnection:
+    """A connection that carries one request at a time.
+
+    Parameters
+    ----------
+    stream : streams.Stream
+        Open connection.
+    """
+
+    def __init__(self, stream: streams.Stream) -> None:
+        self.stream = stream
+        self._parser = http1.AnswerSequenceParser(_MAX_ANSWER_BYTES)
+        self._keeps = True
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on the connection."""
+        return (
+            self._keeps
+            and self.stream.is_quiet
+            and self.stream.is_flushed
+            and not self._parser.has_rest()
+        )
+
+    def send(self, data: bytes) -> None:
+        """Send a request.
+
+        Raises
+        ------
+        OSError
+            If the connection is gone.
+        """
+        self.stream.send(data)
+
+    async def receive(self, max_wait: clock.Milliseconds) -> calls.HttpAnswer:
+        """Return the next whole answer.
+
+        Raises
+        ------
+        TimeoutError
+            If it is not whole in time.
+        OSError
+            If the connection failed.
+        exceptions.ProtocolError
+            If the answer is malformed or ends early.
+        """
+        while True:
+            received = self._parser.take()
+            if received is not None:
+                self._keeps = self._keeps and received.keeps
+                return received.answer
+            data = await self.stream.receive(max_wait)
+            if data:
+                self._feed(data)
+                continue
+            self._keeps = False
+            self._parser.finish()
+            received = self._parser.take()
+            if received is None:
+                raise exceptions.ProtocolError(
+                    "the connection ended without an answer"
+                )
+            return received.answer
+
+    def _feed(self, data: bytes) -> None:
+        """Parse bytes; what is malformed after an answer spoils nothing."""
+        try:
+            self._parser.feed(data)
+        except (exceptions.ProtocolError, exceptions.RefusedError):
+            self._keeps = False
+            if not self._parser.has_whole():
+                raise
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.stream.abort()
+
+
+class HttpPool:
+    """Idle connections to one address.
+
+    Parameters
+    ----------
+    time : clock.Clock
+        Clock of the idle times.
+    host : str
+        IP number.
+    port : int
+        Port.
+    connect_wait : clock.Milliseconds
+        Longest time to open a connection.
+    """
+
+    def __init__(
+        self,
+        time: clock.Clock,
+        host: str,
+        port: int,
+        connect_wait: clock.Milliseconds,
+    ) -> None:
+        self._time = time
+        self._host = host
+        self._port = port
+        self._connect_wait = connect_wait
+        self._idle: collections.deque[
+            tuple[HttpConnection, clock.Milliseconds]
+        ] = collections.deque()
+
+    def take_idle(self) -> HttpConnection | None:
+        """Return the connection that was used last, if one can be reused."""
+        now = self._time.now()
+        while self._idle:
+            connection, expiry = self._idle.pop()
+            if now < expiry and connection.is_reusable:
+                return connection
+            connection.close()
+        return None
+
+    async def open(self) -> HttpConnection:
+        """Open a connection.
+
+        Raises
+        ------
+        TimeoutError
+            If it is not there in time.
+        OSError
+            If it can not be opened.
+        """
+        return HttpConnection(
+            await streams.open_stream(
+                self._host, self._port, self._connect_wait
+            )
+        )
+
+    def give_back(
+        self, connection: HttpConnection, max_idle: clock.Milliseconds
+    ) -> None:
+        """Keep a connection for another request, or close it."""
+        if not connection.is_reusable or max_idle.value <= 0:
+            connection.close()
+            return
+        self._idle.append((connection, self._time.now() + max_idle))
+        self._close_expired()
+
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop()[0].close()
+
+    def _close_expired(self) -> None:
+        now = self._time.now()
+        while self._idle and self._idle[0][1] <= now:
+            self._idle.popleft()[0].close()
--- /dev/null
+++ b/cyclamenwell/sidecar/main.py
@@ -0,0 +1,40 @@
+"""The program `cyclamenwell-sidecar`."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import sys
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.platform import names
+from cyclamenwell.platform import settings as settings_reader
+from cyclamenwell.sidecar import process
+from cyclamenwell.telemetry import journal
+
+__all__ = ["run"]
+
+_DEFAULT_PATH = "/etc/cyclamenwell/local.yaml"
+_BAD_SETTINGS = 2
+
+
+def run() -> None:
+    """Run a sidecar node until it is stopped."""
+    path = pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, _DEFAULT_PATH))
+    time = clock.SystemClock()
+    try:
+        settings = settings_reader.read_settings(path)
+    except exceptions.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(_BAD_SETTINGS)
+    log = journal.Journal(settings.name, time)
+    try:
+        asyncio.run(process.Process(path, settings, time, log).run())
+    finally:
+        log.flush()
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/cyclamenwell/sidecar/process.py
@@ -0,0 +1,272 @@
+"""Start, reload and stop of a sidecar node."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+import gc
+import pathlib
+import random
+import signal
+from typing import Any
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.configuration import published
+from cyclamenwell.generated import deployment
+from cyclamenwell.generated import sidecar
+from cyclamenwell.platform import settings as settings_reader
+from cyclamenwell.retries import arrivals
+from cyclamenwell.routing import placement as placements
+from cyclamenwell.sidecar import dispatcher as dispatchers
+from cyclamenwell.sidecar import executor as executors
+from cyclamenwell.sidecar import figures as figure_module
+from cyclamenwell.sidecar import front as fronts
+from cyclamenwell.sidecar import handlers
+from cyclamenwell.sidecar import operations
+from cyclamenwell.sidecar import parts
+from cyclamenwell.sidecar import peers
+from cyclamenwell.sidecar import shares
+from cyclamenwell.sidecar import spread as spreads
+from cyclamenwell.sidecar import store_reader
+from cyclamenwell.sidecar import streams
+from cyclamenwell.telemetry import journal
+
+__all__ = ["Process"]
+
+_SETTINGS_INTERVAL = clock.Milliseconds(1000)
+# The platform asks for readiness once a second and takes an instance out
+# after two misses; callers send new requests until then.
+_READINESS_WAIT = clock.Milliseconds(3200)
+# Requests that still run are given up so long before SIGKILL comes.
+_KILL_MARGIN = clock.Milliseconds(400)
+_STOP_INTERVAL = clock.Milliseconds(100)
+
+
+class Process:
+    """A sidecar node.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        Settings file, read again when it changes.
+    settings : sidecar.SidecarSettings
+        Settings at the start.
+    time : clock.Clock
+        Clock of the node.
+    log : journal.Journal
+        Takes all decisions.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        settings: sidecar.SidecarSettings,
+        time: clock.Clock,
+        log: journal.Journal,
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._time = time
+        self._log = log
+        self._random = random.Random()
+        self._must_stop = asyncio.Event()
+        self._must_reload = asyncio.Event()
+        self._state = published.PublishedState(
+            time, settings.bounds.reappearance
+        )
+        self._figures = figure_module.Figures()
+        self._links = peers.LinkPool(time, settings.peer_port)
+        self._placement = placements.Placement(
+            time, settings.host, settings.data_centre, self._random
+        )
+        bounds = settings.bounds
+        self._budget = arrivals.ArrivalBudget(
+            time, bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        )
+        executor = executors.Executor(
+            settings, time, self._state, log, self._figures
+        )
+        self._node = parts.Parts(
+            settings=settings,
+            time=time,
+            log=log,
+            figures=self._figures,
+            state=self._state,
+            executor=executor,
+            dispatcher=dispatchers.Dispatcher(
+                settings,
+                time,
+                self._state,
+                self._placement,
+                self._budget,
+                executor,
+                self._links,
+                log,
+                self._figures,
+            ),
+            shares=shares.Shares(
+                settings,
+                time,
+                self._state,
+                self._links,
+                self._random,
+                log,
+                self._figures,
+            ),
+            spread=spreads.Spread(
+                settings,
+                time,
+                self._state,
+                self._links,
+                self._random,
+                log,
+                self._figures,
+            ),
+        )
+        self._front = fronts.Front(self._node, self._random)
+        self._reader = store_reader.StoreReader(
+            settings.store, time, self._state, self._random, log, self._figures
+        )
+        self._operations = operations.Operations(self._is_ready, self._figures)
+        self._state.add_listener(self._follow_state)
+
+    async def run(self) -> None:
+        """Run until SIGTERM and its graceful stop are over."""
+        settings = self._settings
+        self._log.record(
+            "node.started",
+            service=settings.service,
+            data_centre=settings.data_centre,
+        )
+        self._handle_signals()
+        self._add_gauges()
+        # What lives from here on is kept; later collections skip it.
+        gc.collect()
+        gc.freeze()
+        address = settings.caller_address
+        listener = await streams.listen(
+            address.host, address.port, self._front.serve, self._log
+        )
+        await streams.listen(
+            settings.host, settings.peer_port, self._serve_peer, self._log
+        )
+        await self._listen_operations()
+        tasks = [self._begin(work) for work in self._list_work()]
+        await self._must_stop.wait()
+        await self._stop(listener)
+        for task in tasks:
+            task.cancel()
+        self._log.record("node.stopped")
+
+    def _list_work(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the work that goes on all the time."""
+        return [
+            self._log.run(),
+            self._reader.follow_operators(),
+            self._reader.follow_targets(),
+            self._node.spread.run(),
+            self._node.executor.follow_health(),
+            self._node.shares.run(),
+            self._follow_settings(),
+        ]
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._note_end)
+        return task
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        """Stop the node if work that must go on has failed."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.report_failure("node.work_failed", task.exception())
+        self._must_stop.set()
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._must_stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._must_stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._must_reload.set)
+
+    def _add_gauges(self) -> None:
+        book = self._node.executor.gate.book
+        figures = self._figures
+        figures.add_gauge("running", lambda: book.running)
+        figures.add_gauge("queued", lambda: book.queued)
+        figures.add_gauge("slot_limit", lambda: book.limit)
+        figures.add_gauge("connections", lambda: self._front.connections)
+        figures.add_gauge(
+            "store_age_seconds",
+            lambda: (self._time.now() - self._reader.last_answer).seconds,
+        )
+
+    async def _listen_operations(self) -> None:
+        ready = self._settings.ready_address
+        if ready.port:
+            await streams.listen(
+                ready.host, ready.port, self._operations.serve, self._log
+            )
+        await streams.listen(
+            self._settings.host,
+            self._settings.metrics_port,
+            self._operations.serve,
+            self._log,
+        )
+
+    async def _serve_peer(self, stream: streams.Stream) -> None:
+        await handlers.serve_peer(self._node, stream)
+
+    def _is_ready(self) -> bool:
+        return self._state.is_complete and not self._must_stop.is_set()
+
+    def _follow_state(self, news: list[deployment.PublishedItem]) -> None:
+        """Put published changes in force."""
+        self._front.follow_state()
+        self._node.executor.follow_state()
+        self._placement.forget_missing(self._state.entries)
+        nodes = len(self._state.list_hosts())
+        self._budget.set_fleet_size(nodes)
+        self._node.shares.limits.set_fleet_size(nodes)
+        self._node.spread.tell(news)
+
+    async def _follow_settings(self) -> None:
+        """Read the settings file again after SIGHUP or a change."""
+        known = self._settings
+        while True:
+            try:
+                async with asyncio.timeout(_SETTINGS_INTERVAL.seconds):
+                    await self._must_reload.wait()
+            except TimeoutError:
+                continue
+            self._must_reload.clear()
+            try:
+                changed = settings_reader.read_settings(self._path)
+            except exceptions.SettingsError as error:
+                self._log.record("settings.refused", error=str(error))
+                continue
+            if changed != known:
+                known = changed
+            self._log.record("settings.read", changed=changed != self._settings)
+
+    async def _stop(self, listener: asyncio.Server) -> None:
+        """Serve what still comes, then end."""
+        self._log.record("node.stopping")
+        begun = self._time.now()
+        self._front.is_leaving = True
+        self._node.executor.is_leaving = True
+        self._node.spread.is_leaving = True
+        self._node.executor.follow_state()
+        last = begun + self._settings.bounds.grace - _KILL_MARGIN
+        while self._time.now() < last:
+            await asyncio.sleep(_STOP_INTERVAL.seconds)
+            if self._time.now() - begun < _READINESS_WAIT:
+                continue
+            self._front.close_idle()
+            is_idle = (
+                not self._front.connections
+                and not self._node.executor.gate.book.running
+            )
+            if is_idle:
+                break
+        listener.close()
--- /dev/null
+++ b/cyclamenwell/sidecar/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the sidecar node."""
--- a/cyclamenwell/standin/platform.py
+++ b/cyclamenwell/standin/platform.py
@@ -8,7 +8,7 @@
 from typing import Any
 import urllib.parse
 
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 from cyclamenwell.node import calls
 from cyclamenwell.node import webserver
 
@@ -193,5 +193,5 @@
 
 
 def _build_json(status: int, value: Any) -> calls.HttpAnswer:
-    kind = messages.Header("content-type", "application/json")
+    kind = httpfields.Header("content-type", "application/json")
     return calls.HttpAnswer(status, (kind,), json.dumps(value).encode())
--- a/cyclamenwell/standin/target.py
+++ b/cyclamenwell/standin/target.py
@@ -15,7 +15,7 @@
 import urllib3
 
 from cyclamenwell import clock
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 from cyclamenwell.node import calls
 from cyclamenwell.node import headers
 from cyclamenwell.node import webserver
@@ -476,5 +476,5 @@
 
 
 def _build_json(status: int, value: Any) -> calls.HttpAnswer:
-    kind = messages.Header("content-type", "application/json")
+    kind = httpfields.Header("content-type", "application/json")
     return calls.HttpAnswer(status, (kind,), json.dumps(value).encode())
--- a/cyclamenwell/tests/builders.py
+++ b/cyclamenwell/tests/builders.py
@@ -5,7 +5,7 @@
 import socket
 import threading
 
-from cyclamenwell.generated import messages
+from cyclamenwell.generated import httpfields
 from cyclamenwell.node import calls
 from cyclamenwell.node import webserver
 from cyclamenwell.testing import builders
@@ -39,7 +39,7 @@
         self.release.wait(20)
         return calls.HttpAnswer(
             200,
-            (messages.Header("content-type", "application/json"),),
+            (httpfields.Header("content-type", "application/json"),),
             b'{"released": true}',
         )
 
