--- /dev/null
+++ b/cyclamenwell/admission/tests/slot_builders.py
@@ -0,0 +1,97 @@
+"""Builders of slot books and a small model of a loaded target."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import random
+
+from cyclamenwell import clock
+from cyclamenwell.admission import slots
+
+SLOTS = 20
+SERVICE_TIME = clock.Milliseconds(100)
+
+
+def build_book(slot_count: int = SLOTS) -> slots.SlotBook:
+    """Return the book of a warm target."""
+    book = slots.SlotBook(slots.ColdPacer(1.5, 5.0))
+    book.set_slots(slot_count)
+    return book
+
+
+def build_ticket(
+    number: int,
+    expiry: float = 10_000.0,
+    is_further: bool = False,
+    priority: int = 0,
+) -> slots.Ticket:
+    """Return the ticket of a request."""
+    return slots.Ticket(
+        slots.rank_request(is_further, priority),
+        number,
+        clock.Milliseconds(expiry),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadOutcome:
+    """What callers of one priority got.
+
+    Parameters
+    ----------
+    served : dict of int to int
+        Served requests by priority.
+    offered : dict of int to int
+        Offered requests by priority.
+    longest_refusal : clock.Milliseconds
+        Longest time until a refusal.
+    """
+
+    served: dict[int, int]
+    offered: dict[int, int]
+    longest_refusal: clock.Milliseconds
+
+
+def play_load(
+    seed: int,
+    rates_per_second: dict[int, float],
+    max_wait: clock.Milliseconds,
+    seconds: float,
+) -> LoadOutcome:
+    """Offer random arrivals of several priorities to one target."""
+    generator = random.Random(seed)
+    book = build_book()
+    arrivals = sorted(
+        (generator.uniform(0.0, seconds * 1000.0), priority)
+        for priority, rate in rates_per_second.items()
+        for _ in range(int(rate * seconds))
+    )
+    events = [(time, 0, index) for index, (time, _) in enumerate(arrivals)]
+    heapq.heapify(events)
+    served = dict.fromkeys(rates_per_second, 0)
+    offered = dict.fromkeys(rates_per_second, 0)
+    longest = 0.0
+    while events:
+        time, kind, index = heapq.heappop(events)
+        now = clock.Milliseconds(time)
+        for ticket in book.drop_expired(now):
+            longest = max(longest, time - arrivals[ticket.number][0])
+        started = []
+        if kind:
+            book.release(SERVICE_TIME)
+        else:
+            priority = arrivals[index][1]
+            offered[priority] += 1
+            ticket = build_ticket(
+                index, time + max_wait.value, priority=priority
+            )
+            decision, _ = book.offer(ticket, now)
+            if decision is slots.Decision.ADMIT:
+                started.append(ticket)
+        started += book.admit_waiting(now)
+        for ticket in started:
+            served[arrivals[ticket.number][1]] += 1
+            taken = SERVICE_TIME.value * generator.uniform(0.5, 1.5)
+            heapq.heappush(events, (time + taken, 1, ticket.number))
+    return LoadOutcome(served, offered, clock.Milliseconds(longest))
--- /dev/null
+++ b/cyclamenwell/admission/tests/test_slots.py
@@ -0,0 +1,107 @@
+"""Slots, queue and cold start of a target."""
+
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell.admission import slots
+from cyclamenwell.admission.tests import slot_builders as builders
+
+ZERO = clock.ZERO
+
+
+def test_further_calls_go_first_then_importance_then_arrival():
+    """Guards against losing the work of running requests to new ones."""
+    book = builders.build_book(1)
+    assert book.offer(builders.build_ticket(0), ZERO)[0] is (
+        slots.Decision.ADMIT
+    )
+    late = builders.build_ticket(1, priority=2)
+    important = builders.build_ticket(2, priority=0)
+    further = builders.build_ticket(3, priority=3, is_further=True)
+    second = builders.build_ticket(4, priority=0)
+    for ticket in (late, important, further, second):
+        assert book.offer(ticket, ZERO)[0] is slots.Decision.WAIT
+    order = []
+    for _ in range(4):
+        book.release(None)
+        order += book.admit_waiting(ZERO)
+    assert order == [further, important, second, late]
+
+
+def test_a_request_that_would_wait_too_long_is_refused_at_once():
+    """Guards against callers that wait for a refusal known before."""
+    book = builders.build_book(1)
+    book.offer(builders.build_ticket(0), ZERO)
+    decision, retry_after = book.offer(builders.build_ticket(1, 50.0), ZERO)
+    assert decision is slots.Decision.REFUSE
+    assert retry_after >= clock.Milliseconds(100)
+
+
+def test_withdrawn_and_expired_requests_take_no_slot():
+    """Guards against slots that are given to callers that have left."""
+    book = builders.build_book(1)
+    book.offer(builders.build_ticket(0), ZERO)
+    gone, expired, kept = (
+        builders.build_ticket(1),
+        builders.build_ticket(2, 400.0),
+        builders.build_ticket(3),
+    )
+    for ticket in (gone, expired, kept):
+        book.offer(ticket, ZERO)
+    book.withdraw(gone)
+    later = clock.Milliseconds(500)
+    assert book.drop_expired(later) == [expired]
+    book.release(None)
+    assert book.admit_waiting(later) == [kept]
+
+
+def test_more_than_the_limit_never_runs():
+    """Guards against a target that is sent more than its slots."""
+    book = builders.build_book()
+    for number in range(100):
+        book.offer(builders.build_ticket(number), ZERO)
+        book.admit_waiting(ZERO)
+    assert book.running == book.limit <= builders.SLOTS
+
+
+@pytest.mark.parametrize("rate", [5.0, 25.0, 100.0])
+@pytest.mark.parametrize(("excess", "slack"), [(1.5, 5.0), (1.1, 1.0)])
+def test_a_cold_target_gets_no_more_than_it_bears(rate, excess, slack):
+    """Guards against a target that collapses right after its start."""
+    book = slots.SlotBook(slots.ColdPacer(excess, slack))
+    book.set_slots(1000)
+    book.begin_cold(ZERO, clock.Milliseconds(60_000), rate)
+    starts = []
+    for step in range(10_000):
+        now = clock.Milliseconds(step)
+        book.offer(builders.build_ticket(step, step + 100.0), now)
+        starts += [now.value] * len(book.admit_waiting(now))
+        running = book.running
+        starts += [now.value] * (running - (len(starts)))
+        book.drop_expired(now)
+    bound = rate * excess + slack
+    for index, start in enumerate(starts):
+        in_window = [s for s in starts[index:] if s < start + 1000.0]
+        assert len(in_window) <= bound
+    # The pace must not fall far below what the target bears either.
+    assert len(starts) >= rate * 9
+
+
+def test_important_requests_are_served_while_less_important_ones_run():
+    """Guards against shedding by arrival.
+
+    The load is three times what the target takes, a quarter of it important.
+    First come, first served would serve a third of each priority.
+    """
+    capacity = builders.SLOTS / builders.SERVICE_TIME.seconds
+    outcome = builders.play_load(
+        7,
+        {0: capacity * 0.75, 2: capacity * 2.25},
+        clock.Milliseconds(300),
+        20.0,
+    )
+    assert outcome.served[0] >= 0.99 * outcome.offered[0]
+    assert outcome.served[2] >= 0.05 * outcome.offered[2]
+    total = sum(outcome.served.values())
+    assert total >= 0.9 * capacity * 0.95 * 20.0
+    assert outcome.longest_refusal <= clock.Milliseconds(400)
--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -59,6 +59,10 @@
         news = [item for item in changes.items if self._merge(item)]
         if is_whole:
             news += self._remove_missing(changes)
+            # Items that came and went before are not known as removed, so
+            # only the whole list tells others.
+            self.changed = max(self.changed, changes.revision)
+            self._oldest_base = max(self._oldest_base, changes.revision)
         self.revision = changes.revision
         return news
 
@@ -104,8 +108,6 @@
             del self._items[key]
             # When exactly it was removed is not known; the list is.
             self._note_removal(key, changes.revision)
-        if gone:
-            self.changed = max(self.changed, changes.revision)
         return [
             deployment.PublishedItem(key, changes.revision, removed=True)
             for key in gone
--- a/cyclamenwell/configuration/reader.py
+++ b/cyclamenwell/configuration/reader.py
@@ -11,11 +11,11 @@
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import freshness as freshnesses
 from cyclamenwell.configuration import overlay
+from cyclamenwell.configuration import source as sources
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.documents import parser
 from cyclamenwell.generated import settings
 from cyclamenwell.membership import directory as directories
-from cyclamenwell.platform import client as platform_clients
 from cyclamenwell.telemetry import logs
 from cyclamenwell.telemetry import metrics
 
@@ -41,12 +41,12 @@
 
     def watch_documents(
         self, after: int, wait: clock.Milliseconds
-    ) -> platform_clients.PublishedDocuments:
+    ) -> sources.PublishedDocuments:
         """Return documents that changed after a revision."""
 
     def watch_instances(
         self, after: int, wait: clock.Milliseconds
-    ) -> platform_clients.PublishedList:
+    ) -> sources.PublishedList:
         """Return the instance list if it is newer than a revision."""
 
 
@@ -260,7 +260,7 @@
         return self._revision
 
     def _is_stale(
-        self, published: platform_clients.PublishedDocuments, whole: bool
+        self, published: sources.PublishedDocuments, whole: bool
     ) -> bool:
         """Return whether the answer lacks something that is in force."""
         snapshot = self._store.snapshot
--- a/cyclamenwell/configuration/tests/builders.py
+++ b/cyclamenwell/configuration/tests/builders.py
@@ -16,6 +16,7 @@
 from cyclamenwell.configuration import listing
 from cyclamenwell.configuration import reader
 from cyclamenwell.configuration import responder
+from cyclamenwell.configuration import source as sources
 from cyclamenwell.configuration import store
 from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import messages
@@ -24,7 +25,6 @@
 from cyclamenwell.peers import client as peer_clients
 from cyclamenwell.peers import identity
 from cyclamenwell.peers import wire
-from cyclamenwell.platform import client as platform_clients
 from cyclamenwell.testing import builders
 
 __all__ = [
@@ -67,7 +67,7 @@
     def __init__(self) -> None:
         self.revision = 0
         self.texts: dict[str, tuple[int, messages.DocumentText]] = {}
-        self.listed = platform_clients.PublishedList(0, ())
+        self.listed = sources.PublishedList(0, ())
         self.is_down = False
         self.reads = 0
 
@@ -82,9 +82,7 @@
 
     def publish_list(self, entries: tuple[messages.InstanceEntry, ...]) -> None:
         """Publish an instance list."""
-        self.listed = platform_clients.PublishedList(
-            self.listed.revision + 1, entries
-        )
+        self.listed = sources.PublishedList(self.listed.revision + 1, entries)
 
     def copy(self) -> FakePlatform:
         """Return a replica that stays as the platform is now."""
@@ -96,24 +94,24 @@
 
     def watch_documents(
         self, after: int, wait: clock.Milliseconds
-    ) -> platform_clients.PublishedDocuments:
+    ) -> sources.PublishedDocuments:
         """Answer at once."""
         del wait
         self._count()
-        return platform_clients.PublishedDocuments(
+        return sources.PublishedDocuments(
             self.revision,
             tuple(text for at, text in self.texts.values() if at > after),
         )
 
     def watch_instances(
         self, after: int, wait: clock.Milliseconds
-    ) -> platform_clients.PublishedList:
+    ) -> sources.PublishedList:
         """Answer at once."""
         del wait
         self._count()
         if self.listed.revision > after:
             return self.listed
-        return platform_clients.PublishedList(self.listed.revision, ())
+        return sources.PublishedList(self.listed.revision, ())
 
     def _count(self) -> None:
         self.reads += 1
--- /dev/null
+++ b/cyclamenwell/configuration/tests/published_builders.py
@@ -0,0 +1,101 @@
+"""Builders of published items."""
+
+from __future__ import annotations
+
+from cyclamenwell.generated import deployment
+from cyclamenwell.generated import enumerations
+
+
+def build_entry(target_id: str = "i-1", **changes) -> deployment.TargetEntry:
+    """Return the entry of a target."""
+    values = {
+        "target_id": target_id,
+        "service": "meter",
+        "host": "10.0.0.1",
+        "port": 80,
+        "data_centre": "a",
+        "slots": 100,
+        "state": enumerations.InstanceState.SERVING,
+        "born_ms": 1000,
+    }
+    return deployment.TargetEntry(**(values | changes))
+
+
+def build_target(
+    target_id: str, revision: int, **changes
+) -> deployment.PublishedItem:
+    """Return the item of a target."""
+    return deployment.PublishedItem(
+        f"servers/{target_id}",
+        revision,
+        target=build_entry(target_id, **changes),
+    )
+
+
+def build_removal(target_id: str, revision: int) -> deployment.PublishedItem:
+    """Return the removal of a target."""
+    return deployment.PublishedItem(
+        f"servers/{target_id}", revision, removed=True
+    )
+
+
+def build_configuration(
+    version: int, revision: int, **changes
+) -> deployment.PublishedItem:
+    """Return the item of a configuration."""
+    return deployment.PublishedItem(
+        "op/config",
+        revision,
+        configuration=deployment.Configuration(version=version, **changes),
+    )
+
+
+def list_all(
+    revision: int, *items: deployment.PublishedItem
+) -> deployment.PrefixChanges:
+    """Return a whole list."""
+    return deployment.PrefixChanges(-1, revision, items)
+
+
+def list_after(
+    base: int, revision: int, *items: deployment.PublishedItem
+) -> deployment.PrefixChanges:
+    """Return changes after a revision."""
+    return deployment.PrefixChanges(base, revision, items)
+
+
+class StoreModel:
+    """Items of a store with their history."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self._items: dict[str, deployment.PublishedItem] = {}
+        self._history: list[deployment.PublishedItem] = []
+
+    @property
+    def revisions(self) -> dict[str, int]:
+        """Revision of each item by its key."""
+        return {key: item.revision for key, item in self._items.items()}
+
+    def put(self, target_id: str) -> None:
+        """Write an item."""
+        self.revision += 1
+        item = build_target(target_id, self.revision)
+        self._items[item.key] = item
+        self._history.append(item)
+
+    def remove(self, target_id: str) -> None:
+        """Remove an item, if there is one."""
+        item = build_removal(target_id, self.revision + 1)
+        if self._items.pop(item.key, None) is not None:
+            self.revision += 1
+            self._history.append(item)
+
+    def read(self) -> deployment.PrefixChanges:
+        """Return all items."""
+        return list_all(self.revision, *self._items.values())
+
+    def watch(self, after: int) -> deployment.PrefixChanges:
+        """Return the last change of each item after a revision."""
+        changed = {i.key: i for i in self._history if i.revision > after}
+        return list_after(after, self.revision, *changed.values())
--- /dev/null
+++ b/cyclamenwell/configuration/tests/test_published.py
@@ -0,0 +1,165 @@
+"""Merging of published items from the store and from other nodes."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell.configuration import published
+from cyclamenwell.configuration.tests import published_builders as builders
+from cyclamenwell.generated import deployment
+
+REAPPEARANCE = clock.Milliseconds(2000)
+
+
+@pytest.fixture
+def time():
+    return clock.ManualClock()
+
+
+@pytest.fixture
+def state(time):
+    return published.PublishedState(time, REAPPEARANCE)
+
+
+def test_an_older_configuration_never_comes_back(state):
+    """Guards against a node that serves by a version it has replaced."""
+    state.apply_operators(
+        builders.list_all(10, builders.build_configuration(7, 10))
+    )
+    state.apply_operators(
+        builders.list_all(9, builders.build_configuration(6, 9))
+    )
+    assert state.configuration.version == 7
+    state.apply_operators(
+        builders.list_after(10, 12, builders.build_configuration(5, 12))
+    )
+    assert state.configuration.version == 7
+
+
+def test_changes_that_leave_a_gap_are_not_applied(state):
+    """Guards against a list that looks complete and is not."""
+    state.apply_targets(builders.list_all(10, builders.build_target("i-1", 4)))
+    state.apply_targets(
+        builders.list_after(12, 20, builders.build_target("i-2", 15))
+    )
+    assert set(state.entries) == {"i-1"}
+    assert state.targets.revision == 10
+
+
+def test_a_removed_target_does_not_come_back_from_an_older_list(state):
+    """Guards against a request to a target that another node still lists."""
+    state.apply_targets(builders.list_all(10, builders.build_target("i-1", 4)))
+    state.apply_targets(
+        builders.list_after(10, 14, builders.build_removal("i-1", 14))
+    )
+    assert state.list_targets("meter") == ()
+    state.apply_targets(
+        builders.list_after(9, 14, builders.build_target("i-1", 4))
+    )
+    assert state.list_targets("meter") == ()
+
+
+def test_a_whole_list_removes_what_it_does_not_hold(state):
+    """Guards against targets that stay for ever after lost history."""
+    state.apply_targets(
+        builders.list_all(
+            10, builders.build_target("i-1", 4), builders.build_target("i-2", 5)
+        )
+    )
+    state.apply_targets(builders.list_all(20, builders.build_target("i-2", 5)))
+    assert set(state.entries) == {"i-2"}
+
+
+def test_a_target_that_lapsed_in_an_outage_has_time_to_return(state, time):
+    """Guards against refusing everything when the store comes back empty."""
+    state.apply_targets(builders.list_all(10, builders.build_target("i-1", 4)))
+    state.note_outage_end()
+    state.apply_targets(
+        builders.list_after(10, 14, builders.build_removal("i-1", 14))
+    )
+    assert [e.target_id for e in state.list_targets("meter")] == ["i-1"]
+    time.advance(REAPPEARANCE)
+    assert state.list_targets("meter") == ()
+
+
+def test_a_removal_without_an_outage_holds_at_once(state):
+    """Guards against requests to a target that has left."""
+    state.apply_targets(builders.list_all(10, builders.build_target("i-1", 4)))
+    state.apply_targets(
+        builders.list_after(10, 14, builders.build_removal("i-1", 14))
+    )
+    assert state.list_targets("meter") == ()
+
+
+def test_the_youngest_entry_of_an_address_counts(state):
+    """Guards against a restarted target that is taken for its predecessor."""
+    state.apply_targets(
+        builders.list_all(
+            10,
+            builders.build_target("i-new", 9, born_ms=2000),
+            builders.build_target("i-old", 4, born_ms=1000),
+        )
+    )
+    assert state.find_target_at("10.0.0.1", 80).target_id == "i-new"
+
+
+def test_data_centres_go_out_and_come_back(state):
+    """Guards against a data centre that stays out."""
+    out = deployment.PublishedItem("op/evacuate/a", 5, data_centre_out="a")
+    state.apply_operators(builders.list_all(5, out))
+    assert state.data_centres_out == {"a"}
+    back = deployment.PublishedItem("op/evacuate/a", 8, removed=True)
+    state.apply_operators(builders.list_after(5, 8, back))
+    assert state.data_centres_out == frozenset()
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["put", "remove", "read", "watch", "learn"]),
+        strategies.sampled_from(["i-1", "i-2", "i-3"]),
+        strategies.integers(0, 1),
+    ),
+    max_size=30,
+)
+
+
+@hypothesis.given(STEPS)
+@hypothesis.settings(max_examples=300, deadline=None)
+def test_replicas_that_exchange_changes_agree_with_the_store(steps):
+    """Guards against loss or revival of items on any way of learning them.
+
+    Each step changes the store, lets a node read or watch it, or lets a node
+    learn from the other one. At the end one watches and the other one learns.
+    """
+    store = builders.StoreModel()
+    nodes = [published.PrefixReplica(), published.PrefixReplica()]
+
+    def read(node):
+        node.apply(store.read())
+
+    def watch(node):
+        if node.revision:
+            node.apply(store.watch(node.revision))
+        else:
+            read(node)
+
+    def learn(node, other):
+        if other.changed > node.changed:
+            node.apply(other.list_changes(node.changed))
+
+    for step, target_id, index in steps:
+        if step == "put":
+            store.put(target_id)
+        elif step == "remove":
+            store.remove(target_id)
+        elif step == "read":
+            read(nodes[index])
+        elif step == "watch":
+            watch(nodes[index])
+        else:
+            learn(nodes[index], nodes[1 - index])
+    watch(nodes[0])
+    learn(nodes[1], nodes[0])
+    for node in nodes:
+        assert {i.key: i.revision for i in node.items} == store.revisions
--- a/cyclamenwell/limits/fleet_share.py
+++ b/cyclamenwell/limits/fleet_share.py
@@ -31,23 +31,28 @@
 SHARE_DURATION = clock.Milliseconds(2000)
 # The divider counts a share for longer than its holder uses it.
 _DIVIDER_MARGIN = clock.Milliseconds(300)
-# Part of the limit that is divided into shares.
+# Part of the limit that is divided into shares, if an equal share of it holds
+# so many tokens. Smaller shares would mostly be fractions of a token, so such
+# a limit is given out by the reserve alone.
 _SHARED_PART = 0.5
+_MIN_SHARE_TOKENS = 1.5
 # Part of an equal share that a node uses whose share has run out: it is out of
 # touch, and the others have divided the whole limit.
 _EXPIRED_PART = 0.5
 # The same for a node that has not had the time to be granted a share. Callers
 # are spread unevenly, so an equal share alone would refuse many of them.
-_FIRST_PART = 1.5
+_FIRST_PART = 1.25
 _FIRST_DURATION = clock.Milliseconds(2500)
 # Part of the tolerated excess that the refill rate uses, and part of what then
 # remains of the bound that buckets hold. The rest covers requests that are
 # late on their way and changes of shares.
 _RATE_EXCESS = 0.4
-_HELD_PART = 0.85
+_HELD_PART = 0.8
 # A bucket begins with a part of its burst: a restarted fleet would otherwise
 # pass a second whole burst within one window.
 _FIRST_LEVEL = 0.7
+# Tokens out of the reserve that a node keeps beyond its own capacity.
+_MAX_BORROWED = 4.0
 _DEMAND_WEIGHT = 0.4
 _MIN_DEMAND = 0.2
 
@@ -85,6 +90,13 @@
         rest = bound - self.find_refill(organisation) * seconds
         return max(rest * _HELD_PART, 1.0)
 
+    def find_shared_part(
+        self, organisation: deployment.Organisation, nodes: int
+    ) -> float:
+        """Return the part of a limit that is divided into shares."""
+        tokens = self.find_capacity(organisation) * _SHARED_PART
+        return _SHARED_PART if tokens >= _MIN_SHARE_TOKENS * nodes else 0.0
+
 
 class TokenBucket:
     """Tokens that come back with time."""
@@ -98,11 +110,13 @@
     ) -> float:
         """Add the tokens since the last call and return the level."""
         if self._level is None:
-            self._level = max(capacity * _FIRST_LEVEL, 1.0)
+            self._level = capacity * _FIRST_LEVEL
             self._filled = now
         elapsed = max((now - self._filled).seconds, 0.0)
         self._filled = now
-        self._level = min(self._level + elapsed * rate_per_second, capacity)
+        # Tokens out of the reserve may lie above the capacity.
+        filled = min(self._level + elapsed * rate_per_second, capacity)
+        self._level = max(filled, min(self._level, _MAX_BORROWED))
         return self._level
 
     def add(self, tokens: float) -> None:
@@ -184,6 +198,11 @@
         self._time = time
         self._bounds = bounds
         self._buckets: dict[str, TokenBucket] = {}
+        self._nodes = 1
+
+    def set_fleet_size(self, nodes: int) -> None:
+        """Set the number of nodes."""
+        self._nodes = max(nodes, 1)
 
     def take(
         self, organisation: deployment.Organisation, wanted: float
@@ -197,7 +216,7 @@
         clock.Milliseconds
             Time until the next token, if none was taken.
         """
-        part = 1.0 - _SHARED_PART
+        part = 1.0 - self._bounds.find_shared_part(organisation, self._nodes)
         rate = self._bounds.find_refill(organisation) * part
         capacity = max(self._bounds.find_capacity(organisation) * part, 1.0)
         bucket = self._buckets.setdefault(organisation.name, TokenBucket())
@@ -253,9 +272,10 @@
         if account is None:
             account = self._accounts[organisation.name] = _Account(now)
         account.arrived += 1
-        part = self._find_share(account, now) * _SHARED_PART
+        part = self._find_share(account, now)
+        part *= self._bounds.find_shared_part(organisation, self._nodes)
         rate = self._bounds.find_refill(organisation) * part
-        capacity = max(self._bounds.find_capacity(organisation) * part, 1.0)
+        capacity = self._bounds.find_capacity(organisation) * part
         if account.bucket.refill(now, rate, capacity) < 1.0:
             return False
         account.bucket.add(-1.0)
--- a/cyclamenwell/node/assembly.py
+++ b/cyclamenwell/node/assembly.py
@@ -18,6 +18,7 @@
 from cyclamenwell.configuration import listing
 from cyclamenwell.configuration import reader as readers
 from cyclamenwell.configuration import responder as responders
+from cyclamenwell.configuration import source as sources
 from cyclamenwell.configuration import startup as startups
 from cyclamenwell.configuration import store as stores
 from cyclamenwell.generated import documents
@@ -38,7 +39,6 @@
 from cyclamenwell.node import target as targets
 from cyclamenwell.peers import client as peer_clients
 from cyclamenwell.peers import identity as identities
-from cyclamenwell.platform import client as platform_clients
 from cyclamenwell.retries import budget as budgets
 from cyclamenwell.routing import chooser as choosers
 from cyclamenwell.routing import outliers
@@ -250,7 +250,7 @@
             base.source,
         ),
         reader=readers.Reader(
-            platform_clients.PlatformClient(base.settings.platform.url),
+            sources.PlatformClient(base.settings.platform.url),
             base.settings.platform,
             base.settings.instance.name,
             base.time,
--- a/cyclamenwell/platform/decoder.py
+++ b/cyclamenwell/platform/decoder.py
@@ -66,6 +66,15 @@
     return deployment.PublishedItem(key, revision)
 
 
+def _is_whole(value: object) -> bool:
+    # Compared with type() as JSON's true would pass for a number.
+    return type(value) is int
+
+
+def _is_number(value: object) -> bool:
+    return type(value) in (int, float)
+
+
 def _load_value(raw: Mapping[str, Any]) -> Any:
     return json.loads(base64.b64decode(raw["value"], validate=True))
 
@@ -78,13 +87,18 @@
         value = _load_value(raw)
         info, status = value["info"], value["status"]
         host, _, port = value["address"].rpartition(":")
-        # Compared with type() as JSON's true would pass for a number.
-        if type(info["slots"]) is not int or info["slots"] < 1 or not host:
-            return None
-        if not all(isinstance(info[n], str) for n in ("service", "zone")):
+        born = value.get("born", 0)
+        is_readable = (
+            bool(host)
+            and all(
+                isinstance(info[name], str)
+                for name in ("service", "version", "zone")
+            )
+            and all(map(_is_whole, (info["slots"], status["seq"], born)))
+            and _is_number(status["cold_remaining_ms"])
+        )
+        if not is_readable or info["slots"] < 1:
             return None
-        cold = status.get("cold_remaining_ms") or 0
-        born = value.get("born")
         return deployment.TargetEntry(
             target_id=target_id,
             service=info["service"],
@@ -93,8 +107,8 @@
             data_centre=info["zone"],
             slots=info["slots"],
             state=_STATES[status["state"]],
-            cold_remaining_ms=float(cold),
-            born_ms=born if type(born) is int else 0,
+            cold_remaining_ms=float(status["cold_remaining_ms"]),
+            born_ms=born,
         )
     except (
         AttributeError,
--- /dev/null
+++ b/cyclamenwell/platform/tests/test_settings.py
@@ -0,0 +1,52 @@
+"""Reading of the platform's settings file."""
+
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.platform import settings
+from cyclamenwell.platform.tests import builders
+
+
+def write(tmp_path, text):
+    path = tmp_path / "local.yaml"
+    path.write_text(text, "utf-8")
+    return path
+
+
+def test_known_fields_are_read_and_others_ignored(tmp_path):
+    """Guards against settings of a newer platform that stop a node."""
+    read = settings.read_settings(write(tmp_path, builders.SETTINGS))
+    assert read.name == "sidecar-a-1"
+    assert (read.caller_address.host, read.caller_address.port) == (
+        "127.0.0.2",
+        8548,
+    )
+    assert (read.peer_port, read.metrics_port) == (7000, 7015)
+    assert read.target_address.port == 8547
+    assert read.bounds.drain == clock.Milliseconds(1500)
+    assert read.bounds.limit_slack == 7
+    assert read.bounds.retry_ratio == 0.2
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('ip: "127.0.0.2"', "ip: 7", "ip: got 7"),
+        ('node: "sidecar-a-1"', "", "node: got None"),
+        ("127.0.0.2:8548", "127.0.0.2", "outbound: got '127.0.0.2'"),
+        ("provider: {", "other: {", "provider: got None"),
+    ],
+)
+def test_a_problem_names_the_field_and_the_value(tmp_path, old, new, named):
+    """Guards against a node that starts with half of its settings."""
+    path = write(tmp_path, builders.SETTINGS.replace(old, new))
+    with pytest.raises(exceptions.SettingsError, match=named):
+        settings.read_settings(path)
+
+
+@pytest.mark.parametrize("text", ["", "- a", "a: [", "\x00"])
+def test_files_that_are_no_mapping_are_errors(tmp_path, text):
+    """Guards against an unexpected exception at the start."""
+    with pytest.raises(exceptions.SettingsError):
+        settings.read_settings(write(tmp_path, text))
--- /dev/null
+++ b/cyclamenwell/platform/tests/test_store.py
@@ -0,0 +1,65 @@
+"""Calls to the store and its answers."""
+
+import json
+
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.platform import store
+from cyclamenwell.platform.tests import builders
+
+
+def test_paths_hold_whole_milliseconds_and_escaped_prefixes():
+    """Guards against a wait that the store refuses."""
+    path = store.build_watch_path("op/", 411, clock.Milliseconds(1500.7), True)
+    assert path == (
+        "/v1/kv-watch?prefix=op%2F&after=411&wait_ms=1500&serializable=1"
+    )
+    assert store.build_range_path("servers/", "servers/i-1", False) == (
+        "/v1/kv-range?prefix=servers%2F&after=servers%2Fi-1"
+    )
+
+
+def test_longer_waits_than_the_store_takes_are_cut():
+    """Guards against a watch that the store refuses."""
+    path = store.build_watch_path("op/", 1, clock.Milliseconds(99_000), False)
+    assert "wait_ms=30000" in path
+
+
+def test_pages_continue_after_the_last_key():
+    """Guards against a list that ends with its first page."""
+    body = {
+        "items": [
+            builders.build_item("servers/i-1", builders.build_target_value())
+        ],
+        "has_more": True,
+        "store_revision": 530,
+    }
+    changes, after = store.decode_range(200, json.dumps(body).encode())
+    assert after == "servers/i-1"
+    assert (changes.base, changes.revision) == (-1, 530)
+
+
+def test_lost_history_is_told_apart():
+    """Guards against a watch that asks for lost history for ever."""
+    with pytest.raises(store.HistoryLostError):
+        store.decode_watch(410, b"", 7)
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (503, b""),
+        (429, b"{}"),
+        (200, b"no json"),
+        (200, b"[]"),
+        (200, b'{"items": [], "has_more": false}'),
+        (200, b'{"items": 3, "store_revision": 3}'),
+        (200, b'{"items": [{"key": 3}], "store_revision": 3}'),
+    ],
+)
+def test_refused_and_malformed_answers_are_errors(status, body):
+    """Guards against a failed read that looks like an empty list."""
+    with pytest.raises(exceptions.PlatformError):
+        store.decode_range(status, body)
--- /dev/null
+++ b/cyclamenwell/routing/tests/test_hosts.py
@@ -0,0 +1,58 @@
+"""Routes by host and prefix, and shares of split routes."""
+
+import pytest
+
+from cyclamenwell.generated import deployment
+from cyclamenwell.routing import hosts
+
+
+def build_route(name, host, prefix, *services):
+    """Return a route."""
+    return deployment.Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        services=tuple(deployment.WeightedService(*s) for s in services),
+    )
+
+
+def test_the_longest_prefix_of_the_host_counts():
+    """Guards against a request that a wider route takes."""
+    table = hosts.HostTable(
+        deployment.Configuration(
+            routes=(
+                build_route("wide", "a", "/x/"),
+                build_route("narrow", "a", "/x/y/"),
+                build_route("other", "b", "/x/y/z/"),
+            )
+        )
+    )
+    assert table.find_route("a", "/x/y/z/1").name == "narrow"
+    assert table.find_route("a", "/x/1").name == "wide"
+    assert table.find_route("a", "/x") is None
+    assert table.find_route("c", "/x/y/") is None
+
+
+@pytest.mark.parametrize("weights", [(90, 10), (1, 1, 1), (7, 0, 3)])
+def test_shares_of_a_split_are_exact_over_short_times(weights):
+    """Guards against a part that gets more or less than its weight."""
+    route = build_route(
+        "split", "a", "/", *((f"s{i}", w) for i, w in enumerate(weights))
+    )
+    rotation = hosts.SplitRotation()
+    chosen = [rotation.choose_service(route) for _ in range(200)]
+    for index, weight in enumerate(weights):
+        share = chosen.count(f"s{index}") / 200
+        assert share == pytest.approx(weight / sum(weights), abs=0.02)
+
+
+def test_a_key_belongs_to_its_organisation_only_while_listed():
+    """Guards against a withdrawn key that still works."""
+    table = hosts.HostTable(
+        deployment.Configuration(
+            organisations=(deployment.Organisation("shops", ("k1",)),)
+        )
+    )
+    assert table.find_owner("k1").name == "shops"
+    assert table.find_owner("k2") is None
+    assert table.find_owner("") is None
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -227,7 +227,7 @@
         self._placement.forget_missing(self._state.entries)
         nodes = len(self._state.list_hosts())
         self._budget.set_fleet_size(nodes)
-        self._node.shares.limits.set_fleet_size(nodes)
+        self._node.shares.set_fleet_size(nodes)
         self._node.spread.tell(news)
 
     async def _follow_settings(self) -> None:
--- a/cyclamenwell/sidecar/shares.py
+++ b/cyclamenwell/sidecar/shares.py
@@ -77,6 +77,11 @@
         self.divider = fleet_share.ShareDivider(time)
         self.reserve = fleet_share.Reserve(time, bounds)
 
+    def set_fleet_size(self, nodes: int) -> None:
+        """Set the number of nodes."""
+        self.limits.set_fleet_size(nodes)
+        self.reserve.set_fleet_size(nodes)
+
     async def take(
         self, organisation: deployment.Organisation
     ) -> clock.Milliseconds | None:
