Test the path with real processes; ask the kernel less often

Change: the event loop polls sockets only when no callback is ready, accepts once for each event, and sets keep-alive options only where a silent peer matters. A request that goes along with its offer is confirmed only when it takes longer than 100 ms. Stand-ins of the store and of a target that speak the platform's dialect, with faults; tests of the executor and of node processes for routing, refusals, withdrawn keys, leaving targets, killed and restarted nodes, lost history, graceful stop, cancellation, timeouts and log lines.

--- /dev/null
+++ b/cyclamenwell/platform/tests/store_standin.py
@@ -0,0 +1,178 @@
+"""Stand-in of the platform's store: ranges, watches and their troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import dataclasses
+import json
+from typing import Any
+import urllib.parse
+
+from cyclamenwell import clock
+from cyclamenwell.node import http1
+from cyclamenwell.sidecar import streams
+from cyclamenwell.telemetry import journal
+
+__all__ = ["StoreStandin"]
+
+_IDLE = clock.Milliseconds(60_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Item:
+    """An item or, without a value, its removal."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class StoreStandin:
+    """Serves items as the platform's store does.
+
+    Parameters
+    ----------
+    log : journal.Journal
+        Takes failures of connections.
+    page_size : int
+        Items of one page.
+
+    Notes
+    -----
+    `mode` is ``up``, ``refusing`` (503 to all), ``silent`` (no answers) or
+    ``losing`` (connections end before the answer).
+    """
+
+    def __init__(self, log: journal.Journal, page_size: int = 500) -> None:
+        self._log = log
+        self._page_size = page_size
+        self._items: dict[str, _Item] = {}
+        self._history: list[_Item] = []
+        self._kept_after = 0
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self.revision = 1
+        self.mode = "up"
+        self.reads = 0
+
+    @property
+    def port(self) -> int:
+        """Port on which the stand-in listens."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self, host: str) -> None:
+        """Begin to serve."""
+        self._server = await streams.listen(host, 0, self._serve, self._log)
+
+    def stop(self) -> None:
+        """Refuse new connections."""
+        self._server.close()
+
+    def put(self, key: str, value: Any) -> None:
+        """Write a value as JSON, or bytes as they are."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._write(key, raw)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if key in self._items:
+            self._write(key, None)
+
+    def forget_history(self) -> None:
+        """Let watches of older revisions fail."""
+        self._kept_after = self.revision
+        self._history.clear()
+        self._wake()
+
+    def _write(self, key: str, value: bytes | None) -> None:
+        self.revision += 1
+        item = _Item(key, self.revision, value)
+        if value is None:
+            del self._items[key]
+        else:
+            self._items[key] = item
+        self._history.append(item)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, stream: streams.Stream) -> None:
+        parser = http1.RequestParser()
+        while True:
+            while (received := parser.take()) is None:
+                data = await stream.receive(_IDLE)
+                if not data:
+                    return
+                parser.feed(data)
+            self.reads += 1
+            if self.mode == "losing":
+                return
+            if self.mode == "silent":
+                await asyncio.sleep(_IDLE.seconds)
+            status, body = 503, {}
+            if self.mode == "up":
+                status, body = await self._answer(received.request.path)
+            encoded = json.dumps(body).encode()
+            head = (
+                f"HTTP/1.1 {status} X\r\ncontent-length: {len(encoded)}\r\n\r\n"
+            )
+            stream.send(head.encode() + encoded)
+
+    async def _answer(self, path: str) -> tuple[int, dict[str, Any]]:
+        url = urllib.parse.urlsplit(path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if url.path == "/v1/kv-range":
+            return 200, self._read_range(
+                query["prefix"], query.get("after", "")
+            )
+        return await self._watch(
+            query["prefix"], int(query["after"]), int(query["wait_ms"])
+        )
+
+    def _read_range(self, prefix: str, after: str) -> dict[str, Any]:
+        keys = sorted(
+            k for k in self._items if k.startswith(prefix) and k > after
+        )
+        page = keys[: self._page_size]
+        return {
+            "items": [_encode(self._items[key]) for key in page],
+            "has_more": len(keys) > len(page),
+            "store_revision": self.revision,
+        }
+
+    async def _watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> tuple[int, dict[str, Any]]:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_ms / 1000.0
+        while True:
+            if after < self._kept_after:
+                return 410, {}
+            events = [
+                _encode(item)
+                for item in self._history
+                if item.revision > after and item.key.startswith(prefix)
+            ]
+            remaining = end - loop.time()
+            if events or remaining <= 0:
+                return 200, {"events": events, "store_revision": self.revision}
+            try:
+                async with asyncio.timeout(remaining):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+
+def _encode(item: _Item) -> dict[str, Any]:
+    if item.value is None:
+        return {"key": item.key, "revision": item.revision, "tombstone": True}
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created_rev": item.revision,
+        "lease": 0,
+    }
--- /dev/null
+++ b/cyclamenwell/platform/tests/target_standin.py
@@ -0,0 +1,180 @@
+"""Stand-in of a target that speaks as the platform's targets do."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from cyclamenwell import clock
+from cyclamenwell.node import calls
+from cyclamenwell.node import http1
+from cyclamenwell.platform import names
+from cyclamenwell.sidecar import streams
+from cyclamenwell.telemetry import journal
+
+__all__ = ["DialectTarget", "Fault", "Run"]
+
+_IDLE = clock.Milliseconds(60_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that the target ran or began to run.
+
+    Parameters
+    ----------
+    request : calls.HttpRequest
+        Request as it came.
+    ended : bool
+        Whether the target finished it.
+    """
+
+    request: calls.HttpRequest
+    ended: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """How the target spoils its next answers.
+
+    Parameters
+    ----------
+    kind : str
+        ``reset`` (no answer), ``cut`` (half of the body), ``shed`` (says that
+        it did not run the request), ``misdirected``, ``unsealed``,
+        ``foreign`` (an answer to another request comes first), ``unframed``
+        (ends with its connection), ``encoded``, ``busy`` (503 for a request
+        that has run) or ``extra`` (bytes after the answer).
+    times : int
+        Number of spoiled answers.
+    """
+
+    kind: str
+    times: int = 1
+
+
+class DialectTarget:
+    """Runs requests for a fixed time and records them.
+
+    Parameters
+    ----------
+    target_id : str
+        Identity.
+    log : journal.Journal
+        Takes failures of connections.
+    """
+
+    def __init__(self, target_id: str, log: journal.Journal) -> None:
+        self.target_id = target_id
+        self.work = clock.Milliseconds(5)
+        self.cold = clock.ZERO
+        self.runs: list[Run] = []
+        self.connections = 0
+        self.running = 0
+        self._faults: list[Fault] = []
+        self._log = log
+        self._server: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """Port on which the target listens."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Begin to serve."""
+        self._server = await streams.listen(host, port, self._serve, self._log)
+
+    def stop(self) -> None:
+        """Refuse new connections."""
+        self._server.close()
+
+    def spoil(self, *faults: Fault) -> None:
+        """Spoil the next answers."""
+        self._faults += [
+            Fault(fault.kind) for fault in faults for _ in range(fault.times)
+        ]
+
+    async def _serve(self, stream: streams.Stream) -> None:
+        self.connections += 1
+        parser = http1.RequestParser()
+        while True:
+            while (received := parser.take()) is None:
+                data = await stream.receive(_IDLE)
+                if not data:
+                    return
+                parser.feed(data)
+            with stream.cancelling():
+                keeps = await self._answer(received.request, stream)
+            if not keeps:
+                return
+
+    async def _answer(
+        self, request: calls.HttpRequest, stream: streams.Stream
+    ) -> bool:
+        if request.path == "/health":
+            fields = [
+                (names.INSTANCE_ID, self.target_id),
+                (names.COLD_MS, f"{self.cold.value:g}"),
+            ]
+            _send(stream, 200, fields, b"")
+            return True
+        fault = self._faults.pop(0).kind if self._faults else ""
+        request_id = request.find_header(names.REQUEST_ID)
+        wanted = request.find_header(names.TARGET_INSTANCE)
+        if fault == "misdirected" or wanted != self.target_id:
+            _send(stream, 421, [(names.INSTANCE_ID, "i-other")], b"")
+            return True
+        if fault == "shed":
+            _send(stream, 503, [(names.NOT_EXECUTED, "1")], b"")
+            return True
+        await self._run(request)
+        body = b"whole answer of " + request_id.encode()
+        fields = [(names.REQUEST_ID, request_id)]
+        sealed = [*fields, (names.RESPONSE_SEAL, "seal")]
+        if fault == "reset":
+            stream.abort()
+            return False
+        if fault == "cut":
+            _send(stream, 200, sealed, body, cut=len(body) // 2)
+            return False
+        if fault == "unframed":
+            _send(stream, 200, sealed, body, is_framed=False)
+            return False
+        if fault == "foreign":
+            other = [(names.REQUEST_ID, "other"), (names.RESPONSE_SEAL, "x")]
+            _send(stream, 200, other, b"another answer")
+        if fault == "busy":
+            _send(stream, 503, sealed, b"")
+            return True
+        if fault == "encoded":
+            sealed.append(("content-encoding", "gzip"))
+        _send(stream, 200, fields if fault == "unsealed" else sealed, body)
+        if fault == "extra":
+            _send(stream, 200, sealed, body)
+        return True
+
+    async def _run(self, request: calls.HttpRequest) -> None:
+        index = len(self.runs)
+        self.runs.append(Run(request, ended=False))
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work.seconds)
+            self.runs[index] = Run(request, ended=True)
+        finally:
+            self.running -= 1
+
+
+def _send(
+    stream: streams.Stream,
+    status: int,
+    fields: list[tuple[str, str]],
+    body: bytes,
+    cut: int | None = None,
+    is_framed: bool = True,
+) -> None:
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{name}: {value}" for name, value in fields]
+    if is_framed:
+        lines.append(f"content-length: {len(body)}")
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    stream.send(head + body[:cut])
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -269,6 +269,8 @@
             async with self._links.borrow(entry.host) as link:
                 progress.is_sent = is_inline
                 await link.send(offer)
+                # The other node either grants a slot or, for a request that
+                # came along, tells after a moment that it runs.
                 wait = clock.Milliseconds(offer.max_wait_ms) + _GRANT_SLACK
                 granted = await self._receive(link, wait, entry)
                 if not isinstance(granted, deployment.Grant):
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 from typing import Any
 
@@ -20,10 +21,14 @@
 # A granted slot stands empty until the request comes, which takes a round
 # trip; a sender that takes longer is gone.
 _START_WAIT = clock.Milliseconds(500)
+# A request that runs along with its offer is confirmed after this time; most
+# are answered before.
+_SIGN_DELAY = clock.Milliseconds(100)
 
 
 async def serve_peer(node: parts.Parts, stream: streams.Stream) -> None:
     """Serve the connection of another node until it ends."""
+    stream.probe_silence()
     link = peers.Link(stream)
     while True:
         try:
@@ -98,14 +103,23 @@
     offer: deployment.Offer, node: parts.Parts, link: peers.Link
 ) -> deployment.Result:
     deadline = node.time.now() + clock.Milliseconds(offer.remaining_ms)
+    grant = deployment.Grant(offer.request_id)
+    if offer.request is not None:
+        # Only tells that this node is alive, so it is sent for long requests.
+        loop = asyncio.get_running_loop()
+        sign = loop.call_later(_SIGN_DELAY.seconds, link.send_soon, grant)
+        try:
+            async with node.executor.reserve(offer) as slot:
+                return await node.executor.run(
+                    offer, offer.request, deadline, slot
+                )
+        finally:
+            sign.cancel()
     async with node.executor.reserve(offer) as slot:
-        await link.send(deployment.Grant(offer.request_id))
-        request = offer.request
-        if request is None:
-            start = await _receive_start(offer, link)
-            request = start.request
-            deadline = node.time.now() + clock.Milliseconds(start.remaining_ms)
-        return await node.executor.run(offer, request, deadline, slot)
+        await link.send(grant)
+        start = await _receive_start(offer, link)
+        deadline = node.time.now() + clock.Milliseconds(start.remaining_ms)
+        return await node.executor.run(offer, start.request, deadline, slot)
 
 
 async def _receive_start(
--- a/cyclamenwell/sidecar/main.py
+++ b/cyclamenwell/sidecar/main.py
@@ -11,6 +11,7 @@
 from cyclamenwell import exceptions
 from cyclamenwell.platform import names
 from cyclamenwell.platform import settings as settings_reader
+from cyclamenwell.sidecar import loops
 from cyclamenwell.sidecar import process
 from cyclamenwell.telemetry import journal
 
@@ -31,7 +32,8 @@
         sys.exit(_BAD_SETTINGS)
     log = journal.Journal(settings.name, time)
     try:
-        asyncio.run(process.Process(path, settings, time, log).run())
+        with asyncio.Runner(loop_factory=loops.build_loop) as runner:
+            runner.run(process.Process(path, settings, time, log).run())
     finally:
         log.flush()
 
--- a/cyclamenwell/sidecar/peers.py
+++ b/cyclamenwell/sidecar/peers.py
@@ -53,6 +53,12 @@
         self.stream.send(_LENGTH.pack(len(frame)) + frame)
         await self.stream.flush(_FLUSH_WAIT)
 
+    def send_soon(self, message: Any) -> None:
+        """Send a short message without waiting, if the link is there."""
+        frame = _CODEC.encode(message)
+        with contextlib.suppress(ConnectionResetError):
+            self.stream.send(_LENGTH.pack(len(frame)) + frame)
+
     async def receive(self, max_wait: clock.Milliseconds) -> Any | None:
         """Return the next message, or None at the end of the connection.
 
--- a/cyclamenwell/sidecar/streams.py
+++ b/cyclamenwell/sidecar/streams.py
@@ -56,9 +56,6 @@
         """Take the transport of a new connection."""
         self._transport = transport
         transport.set_write_buffer_limits(high=_MAX_UNSENT_BYTES)
-        connection = transport.get_extra_info("socket")
-        if connection is not None:
-            _set_options(connection)
         if self._on_connect is not None:
             self._on_connect(self)
 
@@ -187,6 +184,14 @@
         finally:
             self._on_loss = None
 
+    def probe_silence(self) -> None:
+        """End the connection when the other side has gone silent.
+
+        Connections of callers on the same machine do without: each option
+        costs a system call, and most such connections carry one request.
+        """
+        _set_options(self._transport.get_extra_info("socket"))
+
     def close(self) -> None:
         """Close after all sent bytes have left."""
         self._transport.close()
@@ -202,7 +207,7 @@
 
 
 def _set_options(connection: socket.socket) -> None:
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    """Let the kernel find out that the other side is gone."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
         (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS),
@@ -228,6 +233,7 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(max(max_wait.seconds, 0.0)):
         _, stream = await loop.create_connection(Stream, host, port)
+    stream.probe_silence()
     return stream
 
 
@@ -258,9 +264,16 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    return await loop.create_server(
-        lambda: Stream(begin), host, port, backlog=_BACKLOG
+    listener = socket.create_server((host, port))
+    listener.setblocking(False)
+    # The loop calls accept() up to as often as its backlog says for each
+    # event, so once too often for a single connection. The loop is therefore
+    # told a backlog of 1, and the socket the real one.
+    server = await loop.create_server(
+        lambda: Stream(begin), sock=listener, backlog=1
     )
+    listener.listen(_BACKLOG)
+    return server
 
 
 async def _serve_one(
--- /dev/null
+++ b/cyclamenwell/sidecar/tests/test_processes.py
@@ -0,0 +1,257 @@
+"""Node processes with stand-ins of store, targets and callers."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell.sidecar.tests import builders
+
+
+@pytest.fixture
+def run_fleet(tmp_path):
+    """Return a function that plays a scenario with a fleet."""
+
+    def run(services, scenario):
+        async def play():
+            fleet = builders.Fleet(tmp_path, services)
+            fleet.publish()
+            async with fleet.run():
+                for machine in fleet.machines:
+                    await fleet.wait_ready(machine)
+                await scenario(fleet)
+
+        asyncio.run(play())
+
+    return run
+
+
+def test_requests_reach_targets_of_other_machines(run_fleet):
+    """Guards against a path that works on the own machine only."""
+
+    async def scenario(fleet):
+        desk, meter, other = fleet.machines
+        for number in range(20):
+            answer = await fleet.ask(desk, request_id=f"r-{number}")
+            assert answer.status == 200
+            assert answer.body == f"whole answer of r-{number}".encode()
+        assert meter.target.runs
+        assert other.target.runs
+        run = meter.target.runs[0].request
+        assert run.find_header("caller-service") == "desk"
+        assert run.find_header("tenant") == "shops"
+        assert not run.find_header("x-api-key")
+
+    run_fleet(("desk", "meter", "meter"), scenario)
+
+
+def test_large_bodies_of_requests_that_run_once(run_fleet):
+    """Guards against a body that is cut on the way between nodes."""
+
+    async def scenario(fleet):
+        desk, meter = fleet.machines
+        body = b"0123456789abcdef" * 20_000
+        answer = await fleet.ask(desk, "POST", "/read/open/1", body=body)
+        assert answer.status == 200
+        assert meter.target.runs[0].request.body == body
+
+    run_fleet(("desk", "meter"), scenario)
+
+
+def test_refusals_name_their_reason(run_fleet):
+    """Guards against a wrong status for what is not allowed."""
+
+    async def scenario(fleet):
+        desk = fleet.machines[0]
+        assert (await fleet.ask(desk, path="/none/1")).status == 404
+        assert (await fleet.ask(desk, path="/read")).status == 404
+        no_instance = await fleet.ask(desk)
+        assert no_instance.status == 503
+        fields = {h.name: h.value for h in no_instance.headers}
+        assert float(fields["retry-after"]) > 0
+
+    run_fleet(("desk",), scenario)
+
+
+def test_a_withdrawn_key_stops_working(run_fleet):
+    """Guards against a key that works on after its withdrawal."""
+
+    async def scenario(fleet):
+        desk, _ = fleet.machines
+        assert (await fleet.ask(desk)).status == 200
+        value = builders.platform_builders.build_table(
+            {"name": "shops", "api_keys": ["k2"]}
+        )
+        fleet.publish("0000000d", tenants=value)
+        await builders.wait_for(lambda: has_status(fleet, desk, 401), "refused")
+
+    run_fleet(("desk", "meter"), scenario)
+
+
+async def has_status(fleet, machine, status):
+    """Return whether a request gets a status."""
+    return (await fleet.ask(machine)).status == status
+
+
+def test_a_leaving_target_gets_nothing_more(run_fleet):
+    """Guards against requests to a target that has said that it leaves."""
+
+    async def scenario(fleet):
+        desk, meter, other = fleet.machines
+        fleet.publish_target(meter, state="draining")
+        await asyncio.sleep(1.5)
+        before = len(meter.target.runs)
+        for number in range(10):
+            answer = await fleet.ask(desk, request_id=f"r-{number}")
+            assert answer.status == 200
+        assert len(meter.target.runs) == before
+        assert len(other.target.runs) >= 10
+
+    run_fleet(("desk", "meter", "meter"), scenario)
+
+
+def test_a_killed_node_costs_no_request(run_fleet):
+    """Guards against an unknown outcome when another node is gone."""
+
+    async def scenario(fleet):
+        desk, meter, other = fleet.machines
+        meter.stop()
+        for number in range(20):
+            answer = await fleet.ask(
+                desk, "POST", "/read/open/1", f"r-{number}", b"x"
+            )
+            assert answer.status == 200
+        assert len(other.target.runs) == 20
+
+    run_fleet(("desk", "meter", "meter"), scenario)
+
+
+def test_a_restarted_node_learns_from_others_while_the_store_is_away(
+    run_fleet,
+):
+    """Guards against a node that is useless until the store is back."""
+
+    async def scenario(fleet):
+        desk, meter = fleet.machines
+        fleet.store.mode = "refusing"
+        desk.stop()
+        desk.start(fleet.log_path)
+        await fleet.wait_ready(desk)
+        assert (await fleet.ask(desk)).status == 200
+        assert meter.target.runs
+
+    run_fleet(("desk", "meter"), scenario)
+
+
+def test_lost_history_is_read_again(run_fleet):
+    """Guards against a node that misses what came with the lost history."""
+
+    async def scenario(fleet):
+        desk, meter, other = fleet.machines
+        fleet.store.remove("servers/i-2")
+        fleet.store.forget_history()
+        await asyncio.sleep(2.5)
+        for number in range(6):
+            await fleet.ask(desk, request_id=f"r-{number}")
+        assert not meter.target.runs
+        assert len(other.target.runs) == 6
+
+    run_fleet(("desk", "meter", "meter"), scenario)
+
+
+def test_a_graceful_stop_cuts_no_request(run_fleet):
+    """Guards against requests that end with the process."""
+
+    async def scenario(fleet):
+        desk, meter = fleet.machines
+        meter.target.work = clock.Milliseconds(500)
+        running = [
+            asyncio.create_task(fleet.ask(desk, request_id=f"r-{number}"))
+            for number in range(5)
+        ]
+        await asyncio.sleep(0.3)
+        desk.process.send_signal(signal.SIGTERM)
+        late = asyncio.create_task(fleet.ask(desk, request_id="late"))
+        answers = await asyncio.gather(*running, late)
+        assert [answer.status for answer in answers] == [200] * 6
+        assert not await fleet._is_ready(desk)
+        code = await asyncio.to_thread(desk.process.wait, 8)
+        assert code == 0
+
+    run_fleet(("desk", "meter"), scenario)
+
+
+def test_a_caller_that_leaves_stops_the_work_at_the_target(run_fleet):
+    """Guards against work for nobody, two nodes away from the caller."""
+
+    async def scenario(fleet):
+        desk, meter = fleet.machines
+        meter.target.work = clock.Milliseconds(5000)
+        task = asyncio.create_task(fleet.ask(desk))
+        await builders.wait_for(lambda: is_running(meter, 1), "running")
+        task.cancel()
+        await builders.wait_for(lambda: is_running(meter, 0), "stopped")
+
+    run_fleet(("desk", "meter"), scenario)
+
+
+async def is_running(machine, count):
+    """Return whether a target works on a number of requests."""
+    return machine.target.running == count
+
+
+def test_the_answer_comes_at_the_timeout_of_the_route(run_fleet):
+    """Guards against callers that are kept beyond the route's timeout."""
+
+    async def scenario(fleet):
+        desk, meter = fleet.machines
+        meter.target.work = clock.Milliseconds(5000)
+        time = clock.SystemClock()
+        begun = time.now()
+        answer = await fleet.ask(desk, "POST", "/read/open/1")
+        assert answer.status == 504
+        taken = time.now() - begun
+        assert clock.Milliseconds(600) < taken < clock.Milliseconds(1050)
+        await builders.wait_for(lambda: is_running(meter, 0), "stopped")
+
+    run_fleet(("desk", "meter"), scenario)
+
+
+def test_log_lines_tell_the_story_of_a_request(run_fleet):
+    """Guards against a failure that nobody can explain afterwards."""
+
+    async def scenario(fleet):
+        desk, meter = fleet.machines
+        meter.target.spoil(builders.target_standin.Fault("reset"))
+        answer = await fleet.ask(desk, "POST", "/read/open/1", "r-lost")
+        assert answer.status == 502
+        await builders.wait_for(lambda: has_told(fleet, "r-lost", 3), "logged")
+        told = read_story(fleet, "r-lost")
+        assert [line["event"] for line in told] == [
+            "offer.answered",
+            "attempt.failed",
+            "request.answered",
+        ]
+        assert told[-1]["outcome"] == "INCOMPLETE_ANSWER"
+        assert told[-1]["configuration"] == 12
+        assert not told[1]["not_run"]
+        assert fleet.log_path.read_text("utf-8").count("node.started") == 2
+
+    run_fleet(("desk", "meter"), scenario)
+
+
+def read_story(fleet, request_id):
+    """Return the log lines of a request at all nodes, in order."""
+    lines = [
+        json.loads(line)
+        for line in fleet.log_path.read_text("utf-8").splitlines()
+    ]
+    told = [line for line in lines if line.get("request") == request_id]
+    return sorted(told, key=lambda line: line["time"])
+
+
+async def has_told(fleet, request_id, count):
+    """Return whether all lines of a request are written."""
+    return len(read_story(fleet, request_id)) >= count
--- a/cyclamenwell/telemetry/journal.py
+++ b/cyclamenwell/telemetry/journal.py
@@ -124,7 +124,7 @@
             self._omitted += 1
             return
         line = {
-            "time": round(self._time.wall().value / 1000.0, 3),
+            "time": round(self._time.wall().value / 1000.0, 6),
             "node": self._name,
             "event": event,
             **fields,
