Pace a target whose cold state is not known from the first moment

Change: until a health endpoint has answered, a target counts as cold, and while its service is not known it gets nothing. An idle connection that ends early, or one that breaks at most once a second, lets the node ask again. Times stated by the target are kept 200 ms longer.

--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -33,6 +33,13 @@
 _PROBE_WAIT = clock.Milliseconds(1000)
 # Until the target has said whether it is cold, it is treated as cold.
 _UNKNOWN_COLD = clock.Milliseconds(60_000)
+# A target is paced a little longer than it says: the requests that waited come
+# all at once, and some may be early at the target.
+_COLD_MARGIN = clock.Milliseconds(200)
+# A broken connection may mean that the target has started again, or only that
+# one answer was lost; the target is asked at most once in this time.
+_MIN_HEALTH_AGE = clock.Milliseconds(1000)
+_NOT_COLD = dialect.HealthReport(True, "", clock.ZERO)
 # Statuses that promise that a request has not run. A target that sends one
 # for a request that it may have run must not make the node promise it.
 _PROMISES = frozenset({408, 421, 429, 503})
@@ -102,7 +109,7 @@
         self._figures = figures
         address = settings.target_address
         self._pool = http_client.HttpPool(
-            time, address.host, address.port, _CONNECT_WAIT
+            time, address.host, address.port, _CONNECT_WAIT, self._note_loss
         )
         bounds = settings.bounds
         pacer = slots.ColdPacer(bounds.cold_excess, bounds.cold_slack)
@@ -110,6 +117,8 @@
         self.entry: deployment.TargetEntry | None = None
         self.is_leaving = False
         self._must_probe = asyncio.Event()
+        self._is_cold_known = False
+        self._last_health = clock.ZERO
 
     @property
     def load(self) -> deployment.TargetLoad:
@@ -127,6 +136,9 @@
             self.gate.refuse_waiting(_Kind.LEAVING, "the target is gone")
             return
         self.gate.book.set_slots(entry.slots)
+        if not self._is_cold_known:
+            # The configuration, which tells the pace, may have come only now.
+            self._begin_cold(_UNKNOWN_COLD)
         is_new = known is None or (
             (known.target_id, known.born_ms) != (entry.target_id, entry.born_ms)
         )
@@ -141,7 +153,9 @@
             self._pool.close_idle()
             self._suspect_cold("new target")
         elif entry.cold_remaining_ms > 0 and entry != known:
-            self._begin_cold(clock.Milliseconds(entry.cold_remaining_ms))
+            self._begin_cold(
+                clock.Milliseconds(entry.cold_remaining_ms) + _COLD_MARGIN
+            )
         refusal = self._find_objection(entry.service, entry.target_id)
         if refusal is not None and self.gate.book.queued:
             self.gate.refuse_waiting(refusal.kind, refusal.detail)
@@ -234,7 +248,7 @@
             self._must_probe.clear()
             if not await self._probe():
                 await asyncio.sleep(_PROBE_INTERVAL.seconds)
-                if self._is_cold_unknown:
+                if not self._is_cold_known:
                     self._must_probe.set()
 
     async def _connect(self) -> http_client.HttpConnection:
@@ -316,8 +330,8 @@
         kind = _Kind.INCOMPLETE_ANSWER
         if isinstance(error, TimeoutError) and deadline <= self._time.now():
             kind = _Kind.TIMED_OUT
-        else:
-            self._must_probe.set()
+        elif self._time.now() - self._last_health > _MIN_HEALTH_AGE:
+            self._suspect_cold(f"a connection broke: {error!r}")
         return AttemptError(
             kind,
             f"no whole answer of the target: {error!r}",
@@ -325,6 +339,14 @@
             not_run=False,
         )
 
+    def _note_loss(self) -> None:
+        """Note that an idle connection ended before its time.
+
+        A target that has crashed and started again is cold, and no request
+        need have failed in between.
+        """
+        self._suspect_cold("an idle connection ended early")
+
     def _check(self, offer: deployment.Offer) -> None:
         objection = self._find_objection(offer.service, offer.target_id)
         if objection is not None:
@@ -343,6 +365,8 @@
             )
         if entry.state is not enumerations.InstanceState.SERVING:
             return _object(_Kind.LEAVING, "the target is leaving")
+        if self._find_service() is None:
+            return _object(_Kind.STALE_VIEW, "the service is not known yet")
         if entry.data_centre in self._state.data_centres_out:
             return _object(
                 _Kind.DATA_CENTRE_OUT, f"{entry.data_centre} is taken out"
@@ -356,48 +380,44 @@
     ) -> clock.Milliseconds:
         return _DEFAULT_IDLE if stated is None else stated - _IDLE_MARGIN
 
-    @property
-    def _is_cold_unknown(self) -> bool:
-        now = self._time.now()
-        limit = now + _UNKNOWN_COLD * 0.5
-        return self.gate.book.is_cold(now) and self.gate.book.is_cold(limit)
-
     def _suspect_cold(self, reason: str) -> None:
         """Treat the target as cold until its health endpoint says more."""
-        if not self._is_cold_unknown:
+        if self._is_cold_known:
             self._log.record("target.cold_unknown", reason=reason)
+        self._is_cold_known = False
         self._begin_cold(_UNKNOWN_COLD)
         self._must_probe.set()
 
-    def _begin_cold(self, duration: clock.Milliseconds) -> None:
-        info = None
+    def _find_service(self) -> deployment.ServiceInfo | None:
+        """Return the service of the target, if it is known."""
         configuration = self._state.configuration
-        if configuration is not None and self.entry is not None:
-            for service in configuration.services:
-                if service.name == self.entry.service:
-                    info = service
-        if info is None or info.cold_rate_per_second <= 0:
+        if configuration is None or self.entry is None:
+            return None
+        for service in configuration.services:
+            if service.name == self.entry.service:
+                return service
+        return None
+
+    def _begin_cold(self, duration: clock.Milliseconds) -> None:
+        service = self._find_service()
+        if service is None or service.cold_rate_per_second <= 0:
             return
         self.gate.book.begin_cold(
-            self._time.now(), duration, info.cold_rate_per_second
+            self._time.now(), duration, service.cold_rate_per_second
         )
 
     async def _probe(self) -> bool:
         """Ask the health endpoint; return whether it answered."""
-        configuration = self._state.configuration
-        entry = self.entry
-        if configuration is None or entry is None:
+        service, entry = self._find_service(), self.entry
+        if service is None or entry is None:
             return False
-        paths = [
-            service.health_path
-            for service in configuration.services
-            if service.name == entry.service
-        ]
-        if not paths or not paths[0]:
-            self.gate.book.end_cold()
+        if not service.health_path:
+            self._take_health(_NOT_COLD, was_shed=False)
             return True
         fields = [("host", f"{entry.host}:{entry.port}")]
-        data = http_client.encode_request("GET", paths[0], fields, b"")
+        data = http_client.encode_request(
+            "GET", service.health_path, fields, b""
+        )
         try:
             connection = self._pool.take_idle() or await self._pool.open()
             try:
@@ -424,8 +444,10 @@
             cold_ms=report.cold_remaining.value,
             shed=was_shed,
         )
+        self._is_cold_known = True
+        self._last_health = self._time.now()
         if report.cold_remaining.value > 0:
-            self._begin_cold(report.cold_remaining)
+            self._begin_cold(report.cold_remaining + _COLD_MARGIN)
         else:
             # A target that sheds the probe is full, which a cold one is not.
             self.gate.book.end_cold()
--- a/cyclamenwell/sidecar/http_client.py
+++ b/cyclamenwell/sidecar/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 import re
 
 from cyclamenwell import clock
@@ -142,6 +143,8 @@
         Port.
     connect_wait : clock.Milliseconds
         Longest time to open a connection.
+    on_loss : callable, optional
+        Called when the other side ends an idle connection.
     """
 
     def __init__(
@@ -150,11 +153,13 @@
         host: str,
         port: int,
         connect_wait: clock.Milliseconds,
+        on_loss: Callable[[], None] | None = None,
     ) -> None:
         self._time = time
         self._host = host
         self._port = port
         self._connect_wait = connect_wait
+        self._on_loss = on_loss
         self._idle: collections.deque[
             tuple[HttpConnection, clock.Milliseconds]
         ] = collections.deque()
@@ -164,6 +169,7 @@
         now = self._time.now()
         while self._idle:
             connection, expiry = self._idle.pop()
+            connection.stream.on_loss(None)
             if now < expiry and connection.is_reusable:
                 return connection
             connection.close()
@@ -192,15 +198,20 @@
         if not connection.is_reusable or max_idle.value <= 0:
             connection.close()
             return
+        connection.stream.on_loss(self._on_loss)
         self._idle.append((connection, self._time.now() + max_idle))
         self._close_expired()
 
     def close_idle(self) -> None:
         """Close all idle connections."""
         while self._idle:
-            self._idle.pop()[0].close()
+            self._close(self._idle.pop()[0])
 
     def _close_expired(self) -> None:
         now = self._time.now()
         while self._idle and self._idle[0][1] <= now:
-            self._idle.popleft()[0].close()
+            self._close(self._idle.popleft()[0])
+
+    def _close(self, connection: HttpConnection) -> None:
+        connection.stream.on_loss(None)
+        connection.close()
--- a/cyclamenwell/sidecar/streams.py
+++ b/cyclamenwell/sidecar/streams.py
@@ -184,6 +184,10 @@
         finally:
             self._on_loss = None
 
+    def on_loss(self, callback: Callable[[], object] | None) -> None:
+        """Call a function once when the other side goes away."""
+        self._on_loss = callback
+
     def probe_silence(self) -> None:
         """End the connection when the other side has gone silent.
 
