--- a/cyclamenwell/commands/main.py
+++ b/cyclamenwell/commands/main.py
@@ -12,9 +12,11 @@
 from cyclamenwell.commands import folders
 from cyclamenwell.commands import nodes
 from cyclamenwell.commands import output as outputs
+from cyclamenwell.commands import stories
 from cyclamenwell.documents import changes
 from cyclamenwell.documents import parser
 from cyclamenwell.keys import authenticator
+from cyclamenwell.platform import settings as platform_settings
 from cyclamenwell.settings import files
 
 __all__ = ["app", "run"]
@@ -62,6 +64,48 @@
     typer.echo(f"{len(result.parsed)} documents, no problems")
 
 
+@app.command(epilog="Example: cyclamenwell explain 9c41d07be2a35f68 *.log")
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Identity of a request.")],
+    paths: Annotated[
+        list[pathlib.Path],
+        typer.Argument(help="Log files of sidecar nodes.", exists=True),
+    ],
+) -> None:
+    """Tell from the logs of all nodes what happened to a request."""
+    story = stories.read_story(request_id, paths)
+    if not story.lines:
+        typer.echo(f"no line names the request {request_id!r}", err=True)
+        raise typer.Exit(EXIT_PROBLEMS)
+    start = story.lines[0].time
+    typer.echo("The request:")
+    for line in story.lines:
+        typer.echo(line.describe(start))
+    if story.context:
+        typer.echo("What these nodes had learned shortly before:")
+    for line in story.context:
+        typer.echo(line.describe(start))
+    if story.omitted:
+        typer.echo(f"These nodes left out {story.omitted} lines meanwhile.")
+
+
+@app.command(
+    "check-sidecar", epilog="Example: cyclamenwell check-sidecar local.yaml"
+)
+def check_sidecar(
+    path: Annotated[
+        pathlib.Path, typer.Argument(help="Settings file of the platform.")
+    ],
+) -> None:
+    """Check the settings file of a sidecar node."""
+    try:
+        platform_settings.read_settings(path)
+    except exceptions.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_PROBLEMS) from error
+    typer.echo("no problems")
+
+
 @app.command(
     "check-settings", epilog="Example: cyclamenwell check-settings node.yaml"
 )
