Notice a node that says nothing within half a second

Cause: a sender waited for a grant as long as the queue allows and 300 ms more, so a paused or cut off node held requests for up to 0.7 s and was chosen again.

Change: a node that neither grants nor answers an offer says within 100 ms that the request waits; without a word in 400 ms the sender goes elsewhere and leaves the target alone for a while. Test with a paused process.

--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -32,9 +32,8 @@
         _Kind.WRONG_INSTANCE,
     }
 )
-# Beyond the wait in the other node's queue: a round trip between data centres
-# and a busy moment of the other node.
-_GRANT_SLACK = clock.Milliseconds(300)
+# For a round trip between data centres and a busy moment of the other node.
+_REPLY_SLACK = clock.Milliseconds(300)
 # A body up to this size goes along with the offer of an idempotent request.
 _MAX_INLINE_BYTES = 4096
 # The answer leaves the node so long before the time is over.
@@ -239,13 +238,7 @@
             async with self._links.borrow(entry.host) as link:
                 is_sent = is_inline
                 await link.send(offer)
-                # The other node either grants a slot or, for a request that
-                # came along, tells after a moment that it runs.
-                wait = min(
-                    clock.Milliseconds(offer.max_wait_ms) + _GRANT_SLACK,
-                    self._find_remaining(call),
-                )
-                granted = await self._receive(link, wait, entry)
+                granted = await self._receive_grant(link, offer, entry, call)
                 if not isinstance(granted, deployment.Grant):
                     return self._read_reply(granted, entry)
                 if not is_inline:
@@ -260,6 +253,10 @@
                 reply = await self._receive(
                     link, self._find_remaining(call), entry
                 )
+                if isinstance(reply, deployment.Waiting):
+                    reply = await self._receive(
+                        link, self._find_remaining(call), entry
+                    )
                 return self._read_reply(reply, entry)
         except (OSError, exceptions.ProtocolError) as error:
             if self._find_remaining(call).value <= 0:
@@ -269,6 +266,30 @@
         except exceptions.PeerUnavailableError as error:
             raise _describe_broken_link(entry, error, False) from error
 
+    async def _receive_grant(
+        self,
+        link: peers.Link,
+        offer: deployment.Offer,
+        entry: deployment.TargetEntry,
+        call: RoutedCall,
+    ) -> object:
+        """Return the grant of an offer, or the reply to it."""
+        first = min(peers.SIGN_DELAY + _REPLY_SLACK, self._find_remaining(call))
+        try:
+            message = await self._receive(link, first, entry)
+        except OSError:
+            # Not a word in time: the node or the way to it is gone.
+            self._placement.pause(entry.target_id)
+            raise
+        if not isinstance(message, deployment.Waiting):
+            return message
+        if offer.request is not None:
+            return await self._receive(link, self._find_remaining(call), entry)
+        longest = clock.Milliseconds(offer.max_wait_ms) + _REPLY_SLACK
+        return await self._receive(
+            link, min(longest, self._find_remaining(call)), entry
+        )
+
     async def _receive(
         self,
         link: peers.Link,
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -21,9 +21,6 @@
 # A granted slot stands empty until the request comes, which takes a round
 # trip; a sender that takes longer is gone.
 _START_WAIT = clock.Milliseconds(500)
-# A request that runs along with its offer is confirmed after this time; most
-# are answered before.
-_SIGN_DELAY = clock.Milliseconds(100)
 
 
 async def serve_peer(node: parts.Parts, stream: streams.Stream) -> None:
@@ -61,6 +58,11 @@
     """Run an offered request when it gets a slot."""
     begun = node.time.now()
     outcome = "answered"
+    sign = asyncio.get_running_loop().call_later(
+        peers.SIGN_DELAY.seconds,
+        link.send_soon,
+        deployment.Waiting(message.request_id),
+    )
     try:
         reply = await _run_offer(message, node, link)
     except executors.AttemptError as error:
@@ -83,6 +85,8 @@
             not_run=True,
             load=node.executor.load,
         )
+    finally:
+        sign.cancel()
     node.figures.count("offers", outcome)
     parts.record_outcome(
         node.log,
@@ -103,20 +107,11 @@
     offer: deployment.Offer, node: parts.Parts, link: peers.Link
 ) -> deployment.Result:
     deadline = node.time.now() + clock.Milliseconds(offer.remaining_ms)
-    grant = deployment.Grant(offer.request_id)
     if offer.request is not None:
-        # Only tells that this node is alive, so it is sent for long requests.
-        loop = asyncio.get_running_loop()
-        sign = loop.call_later(_SIGN_DELAY.seconds, link.send_soon, grant)
-        try:
-            async with node.executor.reserve(offer) as slot:
-                return await node.executor.run(
-                    offer, offer.request, deadline, slot
-                )
-        finally:
-            sign.cancel()
+        async with node.executor.reserve(offer) as slot:
+            return await node.executor.run(offer, offer.request, deadline, slot)
     async with node.executor.reserve(offer) as slot:
-        await link.send(grant)
+        await link.send(deployment.Grant(offer.request_id))
         start = await _receive_start(offer, link)
         deadline = node.time.now() + clock.Milliseconds(start.remaining_ms)
         return await node.executor.run(offer, start.request, deadline, slot)
--- a/cyclamenwell/sidecar/peers.py
+++ b/cyclamenwell/sidecar/peers.py
@@ -14,13 +14,16 @@
 from cyclamenwell.peers import codec
 from cyclamenwell.sidecar import streams
 
-__all__ = ["Link", "LinkPool"]
+__all__ = ["SIGN_DELAY", "Link", "LinkPool"]
 
 _CODEC = codec.Codec(deployment.WIRE_TYPES)
 _CLOCK = clock.SystemClock()
 _LENGTH = struct.Struct(">I")
 # A body of 64 MiB, the most that operators have allowed so far, with headers.
 _MAX_FRAME_BYTES = 68 * 1024 * 1024
+# An offer that is neither granted nor answered is confirmed after this time.
+# Most are answered before, which saves the message.
+SIGN_DELAY = clock.Milliseconds(100)
 _CONNECT_WAIT = clock.Milliseconds(300)
 _MAX_IDLE = clock.Milliseconds(20_000)
 _MAX_IDLE_LINKS = 64  # For each peer.
--- a/cyclamenwell/sidecar/tests/test_processes.py
+++ b/cyclamenwell/sidecar/tests/test_processes.py
@@ -128,6 +128,26 @@
     run_fleet(("desk", "meter", "meter"), scenario)
 
 
+def test_a_paused_node_delays_requests_only_shortly(run_fleet):
+    """Guards against callers that wait for a node that says nothing."""
+
+    async def scenario(fleet):
+        desk, meter, other = fleet.machines
+        meter.process.send_signal(signal.SIGSTOP)
+        time = clock.SystemClock()
+        for number in range(6):
+            begun = time.now()
+            answer = await fleet.ask(
+                desk, "POST", "/read/open/1", f"r-{number}", b"x"
+            )
+            assert answer.status == 200
+            assert time.now() - begun < clock.Milliseconds(700)
+        assert len(other.target.runs) == 6
+        meter.process.send_signal(signal.SIGCONT)
+
+    run_fleet(("desk", "meter", "meter"), scenario)
+
+
 def test_a_restarted_node_learns_from_others_while_the_store_is_away(
     run_fleet,
 ):
