Keep expiries of waiting requests in a heap, and dividers in a table

Each request for tokens hashed all nodes.

Change: the slot book keeps expiries in a heap; a test counts comparisons at a queue of 10 and of 500. The node that divides an organisation's limit is kept until the nodes change.

--- a/cyclamenwell/admission/slots.py
+++ b/cyclamenwell/admission/slots.py
@@ -11,6 +11,7 @@
 import bisect
 import dataclasses
 import enum
+import heapq
 
 from cyclamenwell import clock
 
@@ -123,6 +124,11 @@
         self._slots = 1
         self._running = 0
         self._waiting: list[Ticket] = []
+        # Numbers of the waiting requests, and their expiries with those of
+        # requests that have left the queue meanwhile: looking through a long
+        # queue at each release took most of the time of an overloaded node.
+        self._numbers: set[int] = set()
+        self._expiries: list[tuple[float, int, Ticket]] = []
         self._service_time = _FIRST_SERVICE_TIME
         self._cold_until: clock.Milliseconds | None = None
 
@@ -187,13 +193,17 @@
         if now + wait > ticket.expiry or len(self._waiting) >= _MAX_WAITING:
             return Decision.REFUSE, max(wait, _MIN_RETRY)
         bisect.insort(self._waiting, ticket)
+        self._numbers.add(ticket.number)
+        heapq.heappush(
+            self._expiries, (ticket.expiry.value, ticket.number, ticket)
+        )
         return Decision.WAIT, clock.ZERO
 
     def withdraw(self, ticket: Ticket) -> None:
         """Remove a waiting request whose caller went away."""
-        index = bisect.bisect_left(self._waiting, ticket)
-        if index < len(self._waiting) and self._waiting[index] == ticket:
-            del self._waiting[index]
+        if ticket.number in self._numbers:
+            self._numbers.discard(ticket.number)
+            del self._waiting[bisect.bisect_left(self._waiting, ticket)]
 
     def release(self, held: clock.Milliseconds | None) -> None:
         """Give a slot back.
@@ -212,19 +222,26 @@
         """Give free slots to waiting requests and return those."""
         admitted = []
         while self._waiting and self._take_slot(now):
-            admitted.append(self._waiting.pop(0))
+            ticket = self._waiting.pop(0)
+            self._numbers.discard(ticket.number)
+            admitted.append(ticket)
         return admitted
 
     def drop_expired(self, now: clock.Milliseconds) -> list[Ticket]:
         """Remove and return requests whose time in the queue is over."""
-        expired = [t for t in self._waiting if t.expiry <= now]
-        if expired:
-            self._waiting = [t for t in self._waiting if t.expiry > now]
+        expired = []
+        while self._expiries and self._expiries[0][0] <= now.value:
+            _, number, ticket = heapq.heappop(self._expiries)
+            if number in self._numbers:
+                self.withdraw(ticket)
+                expired.append(ticket)
         return expired
 
     def drop_all(self) -> list[Ticket]:
         """Remove and return all waiting requests."""
         dropped, self._waiting = self._waiting, []
+        self._numbers.clear()
+        self._expiries.clear()
         return dropped
 
     def find_next_event(
@@ -233,7 +250,9 @@
         """Return when waiting requests have to be looked at again."""
         if not self._waiting:
             return None
-        times = [min(ticket.expiry for ticket in self._waiting)]
+        while self._expiries[0][1] not in self._numbers:
+            heapq.heappop(self._expiries)
+        times = [clock.Milliseconds(self._expiries[0][0])]
         if self.is_cold(now) and self._running < self.limit:
             times.append(min(self._pacer.find_next(now), self._cold_until))
         return min(times)
--- a/cyclamenwell/admission/tests/test_slots.py
+++ b/cyclamenwell/admission/tests/test_slots.py
@@ -55,6 +55,41 @@
     assert book.admit_waiting(later) == [kept]
 
 
+def test_a_long_queue_costs_no_more_for_each_request_than_a_short_one():
+    """Guards against looking through the whole queue at each release.
+
+    Counted are comparisons of expiries; a queue of 500 may take a few more.
+    """
+    counted = {length: count_comparisons(length) for length in (10, 500)}
+    assert counted[500] <= 3 * counted[10] + 10
+
+
+def count_comparisons(length):
+    """Return the comparisons of times that one release takes."""
+    compared = []
+
+    class Counted(clock.Milliseconds):
+        def __lt__(self, other):
+            compared.append(other)
+            return self.value < other.value
+
+        def __le__(self, other):
+            compared.append(other)
+            return self.value <= other.value
+
+    book = builders.build_book(1)
+    book.offer(builders.build_ticket(0), ZERO)
+    for number in range(1, length + 1):
+        ticket = slots.Ticket((0, 0), number, Counted(1_000_000.0))
+        assert book.offer(ticket, ZERO)[0] is slots.Decision.WAIT
+    compared.clear()
+    book.release(None)
+    book.drop_expired(ZERO)
+    book.admit_waiting(ZERO)
+    book.find_next_event(ZERO)
+    return len(compared)
+
+
 def test_more_than_the_limit_never_runs():
     """Guards against a target that is sent more than its slots."""
     book = builders.build_book()
--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -151,6 +151,7 @@
         self.data_centres_out: frozenset[str] = frozenset()
         self.entries: dict[str, deployment.TargetEntry] = {}
         self._by_service: dict[str, tuple[deployment.TargetEntry, ...]] = {}
+        self._hosts: tuple[str, ...] = ()
 
     @property
     def is_complete(self) -> bool:
@@ -219,9 +220,10 @@
         ]
         return max(found, key=lambda entry: entry.born_ms, default=None)
 
-    def list_hosts(self) -> list[str]:
-        """Return the IP numbers of all instances with a target."""
-        return sorted({entry.host for entry in self.entries.values()})
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """IP numbers of all instances with a target, in order."""
+        return self._hosts
 
     def _is_in_grace(self) -> bool:
         if self._outage_end is None:
@@ -242,6 +244,10 @@
         for item in self.targets.items:
             if item.target is not None:
                 self.entries[item.target.target_id] = item.target
+        hosts = tuple(sorted({e.host for e in self.entries.values()}))
+        if hosts != self._hosts:
+            # The same object as before tells that nothing has changed.
+            self._hosts = hosts
         by_service: dict[str, list[deployment.TargetEntry]] = {}
         for entry in self.entries.values():
             by_service.setdefault(entry.service, []).append(entry)
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -225,7 +225,7 @@
         self._front.follow_state()
         self._node.executor.follow_state()
         self._placement.forget_missing(self._state.entries)
-        nodes = len(self._state.list_hosts())
+        nodes = len(self._state.hosts)
         self._budget.set_fleet_size(nodes)
         self._node.shares.set_fleet_size(nodes)
         self._node.spread.tell(news)
--- a/cyclamenwell/sidecar/shares.py
+++ b/cyclamenwell/sidecar/shares.py
@@ -68,6 +68,8 @@
         self._log = log
         self._figures = figures
         self._paused: dict[str, clock.Milliseconds] = {}
+        self._dividers: dict[str, str] = {}
+        self._divided_by: tuple[str, ...] = ()
         bounds = fleet_share.LimitBounds(
             settings.bounds.limit_window,
             settings.bounds.limit_excess,
@@ -115,7 +117,7 @@
             jittered = _INTERVAL * self._random.uniform(0.8, 1.2)
             await asyncio.sleep(jittered.seconds)
             demands = self.limits.measure_demand()
-            if not demands or not self._state.list_hosts():
+            if not demands or not self._state.hosts:
                 continue
             groups = fleet_share.group_by_divider(demands, self._find_divider)
             await asyncio.gather(
@@ -124,8 +126,16 @@
 
     def _find_divider(self, organisation: str) -> str:
         """Return the node that divides an organisation's limit."""
-        hosts = self._state.list_hosts() or [self._host]
-        return rendezvous.choose_members(organisation, hosts, 1)[0]
+        hosts = self._state.hosts
+        if hosts is not self._divided_by:
+            self._divided_by = hosts
+            self._dividers.clear()
+        divider = self._dividers.get(organisation)
+        if divider is None:
+            members = hosts or (self._host,)
+            divider = rendezvous.choose_members(organisation, members, 1)[0]
+            self._dividers[organisation] = divider
+        return divider
 
     async def _ask_tokens(
         self, organisation: deployment.Organisation, wanted: float
--- a/cyclamenwell/sidecar/spread.py
+++ b/cyclamenwell/sidecar/spread.py
@@ -114,7 +114,7 @@
 
     def _list_others(self) -> list[str]:
         """Return the nodes to talk to."""
-        hosts = set(self._state.list_hosts())
+        hosts = set(self._state.hosts)
         if not hosts:
             hosts = {seed.host for seed in self._settings.seeds}
             hosts |= self._known_hosts
