Check changed settings without a signal; name the labels of metrics

Cause: the settings file may change without SIGHUP, which nobody noticed; and counters had labels without names.

Counters stand in a table with their labels. Tests with real processes for both.

--- a/cyclamenwell/sidecar/figures.py
+++ b/cyclamenwell/sidecar/figures.py
@@ -17,14 +17,16 @@
 
 _PREFIX = "cyclamenwell_sidecar_"
 _BOUNDS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
-_HELP = {
-    "requests": "Requests of callers by route and outcome.",
-    "offers": "Requests for the target beside the node, by outcome.",
-    "target_attempts": "Requests sent to the target, by outcome.",
-    "store_calls": "Calls to the platform's store, by kind and outcome.",
-    "state_changes": "Published items that changed, by source.",
-    "share_requests": "Requests for shares of limits, by outcome.",
-    "log_failures": "Unexpected failures.",
+# Counters with their labels.
+_COUNTERS = {
+    "exchanges": ("Comparisons of state with other nodes.", ("outcome",)),
+    "offers": ("Requests for the target beside the node.", ("outcome",)),
+    "requests": ("Requests of callers.", ("route", "outcome")),
+    "share_requests": (
+        "Messages about limits of organisations.",
+        ("kind", "outcome"),
+    ),
+    "store_calls": ("Calls to the platform's store.", ("kind", "outcome")),
 }
 
 
@@ -40,7 +42,15 @@
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def count(self, name: str, *labels: str) -> None:
-        """Add one to a counter."""
+        """Add one to a counter.
+
+        Parameters
+        ----------
+        name : str
+            Name out of the table of counters.
+        labels : str
+            Values of its labels, in order.
+        """
         self._counters[name][labels] += 1
 
     def observe(self, name: str, duration: clock.Milliseconds) -> None:
@@ -60,10 +70,9 @@
         from prometheus_client import core  # See the module's docstring.
 
         for name, counter in self._counters.items():
-            width = max(len(labels) for labels in counter)
-            names = [f"label_{index}" for index in range(width)]
+            text, labels_of = _COUNTERS[name]
             family = core.CounterMetricFamily(
-                _PREFIX + name, _HELP.get(name, name), labels=names
+                _PREFIX + name, text, labels=labels_of
             )
             for labels, value in counter.items():
                 family.add_metric(labels, value)
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import contextlib
 import gc
 import pathlib
 import random
@@ -231,24 +232,37 @@
         self._node.spread.tell(news)
 
     async def _follow_settings(self) -> None:
-        """Read the settings file again after SIGHUP or a change."""
-        known = self._settings
+        """Check the settings file after SIGHUP and whenever it changes.
+
+        Addresses and bounds hold for the life of a process, so that a change
+        comes into force at the next start; a file that can not be used is
+        reported before that.
+        """
+        known = self._find_settings_time()
         while True:
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_SETTINGS_INTERVAL.seconds):
                     await self._must_reload.wait()
-            except TimeoutError:
+            newest = self._find_settings_time()
+            if newest == known and not self._must_reload.is_set():
                 continue
+            known = newest
             self._must_reload.clear()
             try:
                 changed = settings_reader.read_settings(self._path)
             except exceptions.SettingsError as error:
                 self._log.record("settings.refused", error=str(error))
                 continue
-            if changed != known:
-                known = changed
             self._log.record("settings.read", changed=changed != self._settings)
 
+    def _find_settings_time(self) -> int:
+        """Return when the settings file was changed, 0 if it is not there."""
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError as error:
+            self._log.record_routine("settings.missing", error=repr(error))
+            return 0
+
     async def _stop(self, listener: streams.Listener) -> None:
         """Serve what still comes, then end."""
         self._log.record("node.stopping")
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -255,20 +255,33 @@
         AssertionError
             If it does not within some seconds.
         """
-        await wait_for(lambda: self._is_ready(machine), "ready")
-
-    async def _is_ready(self, machine: Machine) -> bool:
+        await wait_for(lambda: self.is_ready(machine), "ready")
+
+    async def is_ready(self, machine: Machine) -> bool:
+        """Return whether a node says that it is ready."""
+        answer = await self._get(machine, READY_PORT, "/v1/ready")
+        return answer is not None and answer.status == 200
+
+    async def read_metrics(self, machine: Machine) -> str:
+        """Return the metrics of a node."""
+        answer = await self._get(machine, METRICS_PORT, "/metrics")
+        return answer.body.decode()
+
+    async def _get(
+        self, machine: Machine, port: int, path: str
+    ) -> calls.HttpAnswer | None:
+        """Return an answer, or None if nobody listens."""
         data = encoding.encode_request(
-            "GET", "/v1/ready", [("host", machine.host)], b""
+            "GET", path, [("host", machine.host)], b""
         )
         try:
-            stream = await streams.open_stream(machine.host, READY_PORT, _WAIT)
+            stream = await streams.open_stream(machine.host, port, _WAIT)
         except OSError:
-            return False
+            return None
         connection = http_client.HttpConnection(stream)
         try:
             connection.send(data)
-            return (await connection.receive(_WAIT)).status == 200
+            return await connection.receive(_WAIT)
         finally:
             connection.close()
 
--- a/cyclamenwell/sidecar/tests/test_processes.py
+++ b/cyclamenwell/sidecar/tests/test_processes.py
@@ -196,7 +196,7 @@
         late = asyncio.create_task(fleet.ask(desk, request_id="late"))
         answers = await asyncio.gather(*running, late)
         assert [answer.status for answer in answers] == [200] * 6
-        assert not await fleet._is_ready(desk)
+        assert not await fleet.is_ready(desk)
         code = await asyncio.to_thread(desk.process.wait, 8)
         assert code == 0
 
@@ -275,3 +275,46 @@
 async def has_told(fleet, request_id, count):
     """Return whether all lines of a request are written."""
     return len(read_story(fleet, request_id)) >= count
+
+
+def test_changed_settings_are_checked_while_requests_go_on(run_fleet):
+    """Guards against a node that ends or stalls when its settings change."""
+
+    async def scenario(fleet):
+        desk, _ = fleet.machines
+        good = desk.settings_path.read_text("utf-8")
+        desk.settings_path.write_text("node: [", "utf-8")
+        await builders.wait_for(lambda: has_logged(fleet, "refused"), "seen")
+        assert (await fleet.ask(desk)).status == 200
+        desk.settings_path.write_text(good, "utf-8")
+        desk.process.send_signal(signal.SIGHUP)
+        await builders.wait_for(lambda: has_logged(fleet, "read"), "read")
+        assert (await fleet.ask(desk, request_id="r-2")).status == 200
+
+    run_fleet(("desk", "meter"), scenario)
+
+
+async def has_logged(fleet, word):
+    """Return whether a line about settings is written."""
+    return f'"settings.{word}"' in fleet.log_path.read_text("utf-8")
+
+
+def test_metrics_count_what_was_answered(run_fleet):
+    """Guards against metrics that can not be read when they are needed."""
+
+    async def scenario(fleet):
+        desk, meter = fleet.machines
+        for number in range(3):
+            await fleet.ask(desk, request_id=f"r-{number}")
+        metrics = await fleet.read_metrics(desk)
+        prefix = "cyclamenwell_sidecar_"
+        assert (
+            f'{prefix}requests_total{{outcome="answered",route="read"}} 3.0'
+            in metrics
+        )
+        assert f"{prefix}request_seconds_count 3.0" in metrics
+        assert f"{prefix}queued 0.0" in metrics
+        at_target = await fleet.read_metrics(meter)
+        assert f'{prefix}offers_total{{outcome="answered"}} 3.0' in at_target
+
+    run_fleet(("desk", "meter"), scenario)
