--- a/cyclamenwell/retries/repeats.py
+++ b/cyclamenwell/retries/repeats.py
@@ -18,6 +18,11 @@
 _Kind = enumerations.ErrorKind
 # Offers that a request makes before it is refused; each takes a round trip.
 _MAX_OFFERS = 5
+# Offers that end for want of room. When two targets chosen by their load are
+# full the service mostly is, and asking all of them would multiply the load of
+# its nodes when they can bear it least.
+_MAX_FULL_OFFERS = 2
+_FULL = frozenset({_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_SHED})
 _HOPELESS = frozenset({_Kind.BAD_REQUEST, _Kind.ANSWER_TOO_LARGE})
 
 
@@ -41,18 +46,27 @@
         Times that it may have reached a target.
     may_have_run : bool
         Whether a target may have run it.
+    full : int
+        Times that there was no room for it.
     """
 
     offers: int = 0
     arrivals: int = 0
     may_have_run: bool = False
-
-    def add(self, reached_target: bool, not_run: bool) -> Attempts:
+    full: int = 0
+
+    def add(
+        self,
+        reached_target: bool,
+        not_run: bool,
+        failure: enumerations.ErrorKind,
+    ) -> Attempts:
         """Return the attempts with one more."""
         return Attempts(
             self.offers + 1,
             self.arrivals + (1 if reached_target else 0),
             self.may_have_run or not not_run,
+            self.full + (1 if failure in _FULL else 0),
         )
 
 
@@ -77,6 +91,8 @@
     """
     if failure in _HOPELESS or attempts.offers >= _MAX_OFFERS:
         return Repeat.NONE
+    if attempts.full >= _MAX_FULL_OFFERS:
+        return Repeat.NONE
     is_repeatable = kind is enumerations.RequestKind.IDEMPOTENT
     if attempts.may_have_run and not is_repeatable:
         return Repeat.NONE
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -146,7 +146,9 @@
                 return await self._attempt(call, entry)
             except executors.AttemptError as error:
                 failure = error
-            attempts = attempts.add(failure.reached_target, failure.not_run)
+            attempts = attempts.add(
+                failure.reached_target, failure.not_run, failure.kind
+            )
             self._log.record(
                 "attempt.failed",
                 request=call.request_id,
