Keep the link of a refused offer

Cause: a refusal was raised inside the context that lends the link, which took it for a broken exchange and closed it.

Change: the reply is read after the link is given back.

--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -240,10 +240,8 @@
             async with self._links.borrow(entry.host) as link:
                 is_sent = is_inline
                 await link.send(offer)
-                granted = await self._receive_grant(link, offer, entry, call)
-                if not isinstance(granted, deployment.Grant):
-                    return self._read_reply(granted, entry)
-                if not is_inline:
+                reply = await self._receive_grant(link, offer, entry, call)
+                if isinstance(reply, deployment.Grant):
                     is_sent = True
                     await link.send(
                         deployment.Start(
@@ -252,14 +250,7 @@
                             call.request,
                         )
                     )
-                reply = await self._receive(
-                    link, self._find_remaining(call), entry
-                )
-                if isinstance(reply, deployment.Waiting):
-                    reply = await self._receive(
-                        link, self._find_remaining(call), entry
-                    )
-                return self._read_reply(reply, entry)
+                    reply = await self._receive_result(link, entry, call)
         except (OSError, exceptions.ProtocolError) as error:
             if self._find_remaining(call).value <= 0:
                 raise _describe_late(entry, is_sent) from error
@@ -267,6 +258,20 @@
             raise _describe_broken_link(entry, error, is_sent) from error
         except exceptions.PeerUnavailableError as error:
             raise _describe_broken_link(entry, error, False) from error
+        # A refusal is read out here, as the link can be used again after it.
+        return self._read_reply(reply, entry)
+
+    async def _receive_result(
+        self,
+        link: peers.Link,
+        entry: deployment.TargetEntry,
+        call: RoutedCall,
+    ) -> object:
+        """Return the reply to a started request."""
+        while True:
+            reply = await _receive(link, self._find_remaining(call), entry)
+            if not isinstance(reply, deployment.Waiting):
+                return reply
 
     async def _receive_grant(
         self,
@@ -278,7 +283,7 @@
         """Return the grant of an offer, or the reply to it."""
         first = min(peers.SIGN_DELAY + _REPLY_SLACK, self._find_remaining(call))
         try:
-            message = await self._receive(link, first, entry)
+            message = await _receive(link, first, entry)
         except OSError:
             # Not a word in time: the node or the way to it is gone.
             self._placement.pause(entry.target_id)
@@ -286,33 +291,24 @@
         if not isinstance(message, deployment.Waiting):
             return message
         if offer.request is not None:
-            return await self._receive(link, self._find_remaining(call), entry)
+            return await self._receive_result(link, entry, call)
         longest = clock.Milliseconds(offer.max_wait_ms) + _REPLY_SLACK
-        return await self._receive(
+        return await _receive(
             link, min(longest, self._find_remaining(call)), entry
         )
 
-    async def _receive(
-        self,
-        link: peers.Link,
-        max_wait: clock.Milliseconds,
-        entry: deployment.TargetEntry,
-    ) -> object:
-        message = await link.receive(max_wait)
-        if message is None:
-            raise exceptions.ProtocolError(
-                f"the node of {entry.target_id} closed the connection"
-            )
-        return message
-
     def _read_reply(
         self, reply: object, entry: deployment.TargetEntry
     ) -> deployment.Result:
         if isinstance(reply, deployment.Result):
             return reply
         if not isinstance(reply, deployment.Refusal):
-            raise exceptions.ProtocolError(
-                f"{type(reply).__name__} from the node of {entry.target_id}"
+            # Only another version of the program answers with anything else.
+            raise executors.AttemptError(
+                _Kind.INCOMPLETE_ANSWER,
+                f"{type(reply).__name__} from the node of {entry.target_id}",
+                reached_target=True,
+                not_run=False,
             )
         self._placement.note_load(reply.load)
         raise executors.AttemptError(
@@ -370,6 +366,26 @@
         return exceptions.RefusedError(kind, failure.detail)
 
 
+async def _receive(
+    link: peers.Link,
+    max_wait: clock.Milliseconds,
+    entry: deployment.TargetEntry,
+) -> object:
+    """Return the next message of the node beside a target.
+
+    Raises
+    ------
+    exceptions.ProtocolError
+        If the node closed the connection.
+    """
+    message = await link.receive(max_wait)
+    if message is None:
+        raise exceptions.ProtocolError(
+            f"the node of {entry.target_id} closed the connection"
+        )
+    return message
+
+
 def _describe_late(
     entry: deployment.TargetEntry, is_sent: bool
 ) -> executors.AttemptError:
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -71,6 +71,7 @@
         self._time = time
         self._log = log
         self._random = random.Random()
+        self._peer_connections = 0  # Accepted since the start.
         self._must_stop = asyncio.Event()
         self._must_reload = asyncio.Event()
         self._state = published.PublishedState(
@@ -197,6 +198,7 @@
         figures.add_gauge("queued", lambda: book.queued)
         figures.add_gauge("slot_limit", lambda: book.limit)
         figures.add_gauge("connections", lambda: self._front.connections)
+        figures.add_gauge("peer_connections", lambda: self._peer_connections)
         figures.add_gauge(
             "store_age_seconds",
             lambda: (self._time.now() - self._reader.last_answer).seconds,
@@ -216,6 +218,7 @@
         )
 
     async def _serve_peer(self, stream: streams.Stream) -> None:
+        self._peer_connections += 1
         await handlers.serve_peer(self._node, stream)
 
     def _is_ready(self) -> bool:
--- a/cyclamenwell/sidecar/tests/test_processes.py
+++ b/cyclamenwell/sidecar/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import signal
 
 import pytest
@@ -128,6 +129,24 @@
     run_fleet(("desk", "meter", "meter"), scenario)
 
 
+def test_a_refused_offer_keeps_its_link(run_fleet):
+    """Guards against a new connection for each refusal of an overload."""
+
+    async def scenario(fleet):
+        desk, meter = fleet.machines
+        meter.target.spoil(builders.target_standin.Fault("shed", 20))
+        for number in range(20):
+            await fleet.ask(desk, request_id=f"r-{number}")
+        metrics = await fleet.read_metrics(meter)
+        found = re.search(
+            r"^cyclamenwell_sidecar_peer_connections (\S+)", metrics, re.M
+        )
+        # One link for offers, and a few for exchanges of state and shares.
+        assert 1 <= float(found[1]) <= 6
+
+    run_fleet(("desk", "meter"), scenario)
+
+
 def test_a_paused_node_delays_requests_only_shortly(run_fleet):
     """Guards against callers that wait for a node that says nothing."""
 
