Answer 500 when a part behind the front fails unexpectedly

Cause: such a failure ended the connection without an answer, and the request's line in the log said that it had been answered.

Change: an answer of kind INTERNAL, a line with the traceback, and the outcome INTERNAL.

--- a/cyclamenwell/sidecar/front.py
+++ b/cyclamenwell/sidecar/front.py
@@ -177,7 +177,7 @@
         """Return the answer to a request and log its outcome."""
         node = self._node
         begun = node.time.now()
-        outcome, request_id, route, detail = "answered", "", "", ""
+        outcome, request_id, route, detail = _Kind.INTERNAL.name, "", "", ""
         retry_after = clock.ZERO
         status = 499
         try:
@@ -186,7 +186,7 @@
             call = await self._route(received, begun)
             route = call.route.name
             result = await self._run(call, received)
-            status = result.status
+            outcome, status = "answered", result.status
             return calls.HttpAnswer(result.status, result.headers, result.body)
         except exceptions.RefusedError as refusal:
             outcome, detail = refusal.kind.name, refusal.detail
@@ -197,6 +197,12 @@
         except asyncio.CancelledError:
             outcome = "cancelled"
             raise
+        except Exception as error:
+            node.log.report_failure("request.failed", error)
+            refusal = exceptions.RefusedError(_Kind.INTERNAL, "internal error")
+            answer = dialect.build_refusal(refusal, request_id)
+            status = answer.status
+            return answer
         finally:
             took = node.time.now() - begun
             node.figures.count("requests", route, outcome)
