Test early answers and silent targets

Cause: two traps of the platform's pages had no test: an answer before the body is read, and a target that says nothing.

Change: tests of both beside the executor; they pass on the code as it is.

Conclusion: no fault found here.

--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -242,6 +242,10 @@
             service_ms=held.value,
         )
 
+    def close_connections(self) -> None:
+        """Close the idle connections to the target."""
+        self._pool.close_idle()
+
     async def follow_health(self) -> None:
         """Ask the target whether it is cold whenever that is not known."""
         while True:
--- a/cyclamenwell/sidecar/tests/test_executor.py
+++ b/cyclamenwell/sidecar/tests/test_executor.py
@@ -8,6 +8,7 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.platform.tests import target_standin
 from cyclamenwell.sidecar import executor as executors
+from cyclamenwell.sidecar import streams
 from cyclamenwell.sidecar.tests import builders
 
 Kind = enumerations.ErrorKind
@@ -196,3 +197,65 @@
 async def is_warm(book):
     """Return whether requests are not paced."""
     return not book.is_cold(clock.SystemClock().now())
+
+
+def test_an_answer_before_the_body_is_read_spoils_no_later_request():
+    """Guards against bytes of a next request where a body is still due."""
+    heads = []
+
+    async def answer_early(stream):
+        wait = clock.Milliseconds(2000)
+        data = await stream.receive(wait)
+        heads.append(data[:20])
+        request_id = data.split(b"request-id: ")[1].split(b"\r\n")[0]
+        stream.send(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nresponse-seal: x\r\n"
+            b"request-id: " + request_id + b"\r\n\r\nok"
+        )
+        await asyncio.sleep(0.2)
+        while await stream.receive(wait):
+            pass
+
+    async def play():
+        async with builders.run_executor() as (executor, target):
+            await builders.wait_for(lambda: is_warm(executor.gate.book), "warm")
+            target.stop()
+            executor.close_connections()
+            early = streams.Listener(
+                builders.LOOPBACK,
+                target.port,
+                answer_early,
+                builders.build_log(),
+            )
+            large = builders.build_request(body=b"x" * 30_000_000)
+            offer = builders.build_offer()
+            deadline = clock.SystemClock().now() + clock.Milliseconds(3000)
+            for _ in range(2):
+                async with executor.reserve(offer) as slot:
+                    result = await executor.run(offer, large, deadline, slot)
+                assert result.body == b"ok"
+            early.close()
+
+    asyncio.run(play())
+    assert heads == [b"POST /pay/1 HTTP/1.1"[:20]] * 2
+
+
+def test_a_target_that_says_nothing_holds_a_request_to_its_deadline():
+    """Guards against callers that wait for a connection that went silent."""
+
+    async def play():
+        async with builders.run_executor() as (executor, target):
+            target.work = clock.Milliseconds(60_000)
+            offer = builders.build_offer()
+            time = clock.SystemClock()
+            deadline = time.now() + clock.Milliseconds(300)
+            with pytest.raises(executors.AttemptError) as caught:
+                async with executor.reserve(offer) as slot:
+                    await executor.run(
+                        offer, builders.build_request(), deadline, slot
+                    )
+            assert caught.value.kind is Kind.TIMED_OUT
+            assert not caught.value.not_run
+            assert time.now() - deadline < clock.Milliseconds(250)
+
+    asyncio.run(play())
