Make a test of the web server independent of who is quicker

The trace shows a whole answer to a request that came before the stop, which may keep its connection; the server is right and the test was not.

Change: the test ends keep-alive before it sends the request, so that every order of the threads has to close the connection. Both assertions stay.

Conclusion: the test is as strict and no longer depends on scheduling.

--- a/cyclamenwell/node/tests/test_webserver.py
+++ b/cyclamenwell/node/tests/test_webserver.py
@@ -253,6 +253,9 @@
     with socket.create_connection(address, 20) as connection:
         connection.sendall(request)
         assert b"x-path: /late" in connection.recv(65536)
+        # Otherwise a server thread that is quicker than this one answers the
+        # request before the stop, and rightly keeps the connection.
+        server.end_keep_alive()
         connection.sendall(request)
         assert server.drain(clock.Milliseconds(10_000))
         received = connection.recv(65536)
