Remove unused settings, fields and flags of the sidecar node

Cause: reading the code showed settings that were read and not used, a field of StateExchange that was sent and not read, an unused lookup in HostTable and a flag of store paths that was always false.

Change: they are removed, among them Bounds.drain and Bounds.configuration, whose bounds are kept without a timer. StoreSettings.reads_per_second is used now: the pause between two watches of the targets grows with the fleet, so that all watches together stay below half of the store's rate. The tests of paths no longer cover the removed flag; the test of settings reads grace and reads_per_second in place of drain.

Before: a fleet of 2,000 nodes at 1,000 reads a second would have sent 2,000 watches a second while targets change. After: 500, by calculation; the test plays one node at one read a second, at most 2 reads in 3 s.

Conclusion: no behaviour changes on fleets below 500 nodes at that rate.

--- a/cyclamenwell/platform/settings.py
+++ b/cyclamenwell/platform/settings.py
@@ -91,9 +91,7 @@
         """Return the bounds, with the schema's defaults for missing ones."""
         raw = self._raw.get("bounds") or {}
         milliseconds = {
-            "drain": (raw.get("drain_ms"), 1.0),
             "grace": (raw.get("grace_s"), 1000.0),
-            "configuration": (raw.get("config_apply_ms"), 1.0),
             "retry_window": (raw.get("budget_window_s"), 1000.0),
             "limit_window": (raw.get("quota_window_s"), 1000.0),
             "reappearance": (raw.get("reuse_after_s"), 1000.0),
--- a/cyclamenwell/platform/store.py
+++ b/cyclamenwell/platform/store.py
@@ -30,7 +30,7 @@
     """The store no longer has the history after a revision."""
 
 
-def build_range_path(prefix: str, after: str, may_be_stale: bool) -> str:
+def build_range_path(prefix: str, after: str) -> str:
     """Return the path that reads the items under a prefix.
 
     Parameters
@@ -39,21 +39,14 @@
         Beginning of the keys.
     after : str
         Key after which the page begins, empty for the first page.
-    may_be_stale : bool
-        Whether the answer may be some seconds old, which costs a tenth.
     """
     query = {"prefix": prefix}
     if after:
         query["after"] = after
-    return _build_path("/v1/kv-range", query, may_be_stale)
+    return _build_path("/v1/kv-range", query)
 
 
-def build_watch_path(
-    prefix: str,
-    after: int,
-    wait: clock.Milliseconds,
-    may_be_stale: bool,
-) -> str:
+def build_watch_path(prefix: str, after: int, wait: clock.Milliseconds) -> str:
     """Return the path that waits for changes under a prefix.
 
     Parameters
@@ -64,8 +57,6 @@
         Revision after which changes are wanted.
     wait : clock.Milliseconds
         Longest wait for the first change.
-    may_be_stale : bool
-        Whether the answer may be some seconds old, which costs a tenth.
     """
     wait = min(wait, MAX_WATCH_WAIT)
     query = {
@@ -73,12 +64,10 @@
         "after": str(after),
         "wait_ms": str(int(wait.value)),
     }
-    return _build_path("/v1/kv-watch", query, may_be_stale)
+    return _build_path("/v1/kv-watch", query)
 
 
-def _build_path(path: str, query: dict[str, str], may_be_stale: bool) -> str:
-    if may_be_stale:
-        query["serializable"] = "1"
+def _build_path(path: str, query: dict[str, str]) -> str:
     return f"{path}?{urllib.parse.urlencode(query)}"
 
 
--- a/cyclamenwell/platform/tests/builders.py
+++ b/cyclamenwell/platform/tests/builders.py
@@ -17,7 +17,7 @@
   ready: "127.0.0.2:8546"
 internal_port_range: [7000, 7015]
 seeds: []
-bounds: {drain_ms: 1500, grace_s: 6, quota_slack: 7, unknown_bound: 1}
+bounds: {drain_ms: 1500, grace_s: 6.5, quota_slack: 7, unknown_bound: 1}
 app_addr: "127.0.0.2:8547"
 provider: {address: "127.0.0.1:8545", reads_per_s: 2000}
 unknown_field: {nested: true}
--- a/cyclamenwell/platform/tests/test_settings.py
+++ b/cyclamenwell/platform/tests/test_settings.py
@@ -24,7 +24,8 @@
     )
     assert (read.peer_port, read.metrics_port) == (7000, 7015)
     assert read.target_address.port == 8547
-    assert read.bounds.drain == clock.Milliseconds(1500)
+    assert read.bounds.grace == clock.Milliseconds(6500)
+    assert read.store.reads_per_second == 2000
     assert read.bounds.limit_slack == 7
     assert read.bounds.retry_ratio == 0.2
 
--- a/cyclamenwell/platform/tests/test_store.py
+++ b/cyclamenwell/platform/tests/test_store.py
@@ -12,18 +12,16 @@
 
 def test_paths_hold_whole_milliseconds_and_escaped_prefixes():
     """Guards against a wait that the store refuses."""
-    path = store.build_watch_path("op/", 411, clock.Milliseconds(1500.7), True)
-    assert path == (
-        "/v1/kv-watch?prefix=op%2F&after=411&wait_ms=1500&serializable=1"
-    )
-    assert store.build_range_path("servers/", "servers/i-1", False) == (
+    path = store.build_watch_path("op/", 411, clock.Milliseconds(1500.7))
+    assert path == "/v1/kv-watch?prefix=op%2F&after=411&wait_ms=1500"
+    assert store.build_range_path("servers/", "servers/i-1") == (
         "/v1/kv-range?prefix=servers%2F&after=servers%2Fi-1"
     )
 
 
 def test_longer_waits_than_the_store_takes_are_cut():
     """Guards against a watch that the store refuses."""
-    path = store.build_watch_path("op/", 1, clock.Milliseconds(99_000), False)
+    path = store.build_watch_path("op/", 1, clock.Milliseconds(99_000))
     assert "wait_ms=30000" in path
 
 
--- a/cyclamenwell/routing/hosts.py
+++ b/cyclamenwell/routing/hosts.py
@@ -28,10 +28,6 @@
             for organisation in configuration.organisations
             for key in organisation.keys
         }
-        self._by_name = {
-            organisation.name: organisation
-            for organisation in configuration.organisations
-        }
         self.services = {
             service.name: service for service in configuration.services
         }
@@ -47,10 +43,6 @@
         """Return the organisation that holds a key."""
         return self._organisations.get(key)
 
-    def find_organisation(self, name: str) -> deployment.Organisation | None:
-        """Return an organisation by its name."""
-        return self._by_name.get(name)
-
     @property
     def needs_keys(self) -> bool:
         """Whether requests on routes that are not public need a key."""
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -272,7 +272,6 @@
         begun = self._time.now()
         self._front.is_leaving = True
         self._node.executor.is_leaving = True
-        self._node.spread.is_leaving = True
         self._node.executor.follow_state()
         last = begun + self._settings.bounds.grace - _KILL_MARGIN
         while self._time.now() < last:
--- a/cyclamenwell/sidecar/spread.py
+++ b/cyclamenwell/sidecar/spread.py
@@ -67,7 +67,6 @@
         self._known_hosts: set[str] = set()
         self._has_work = asyncio.Event()
         self._told_revision = 0
-        self.is_leaving = False
 
     def note_exchange(self, message: deployment.StateExchange) -> None:
         """Note what another node knows and ask it for what is lacking."""
@@ -127,7 +126,6 @@
             host=self._settings.host,
             operator_revision=state.operators.changed,
             target_revision=state.targets.changed,
-            is_leaving=self.is_leaving,
         )
         try:
             reply = await self._links.ask(host, message, _REPLY_WAIT)
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -30,6 +30,9 @@
 # Between two watches of the targets: changes of a moment come in one answer,
 # and each call has a price.
 _TARGET_PAUSE = clock.Milliseconds(1000)
+# Part of the store's rate of reads that watches of the targets may take while
+# each of them returns at once; the rest is for starts and other watches.
+_WATCH_PART = 0.5
 _FIRST_BACKOFF = clock.Milliseconds(150)
 _LONGEST_BACKOFF = clock.Milliseconds(2000)
 
@@ -67,6 +70,7 @@
         self._random = generator
         self._log = log
         self._figures = figures
+        self._reads_per_second = settings.reads_per_second
         address = settings.address
         self._host = f"{address.host}:{address.port}"
         self._pool = http_client.HttpPool(
@@ -82,8 +86,7 @@
             self._state.operators,
             self._state.apply_operators,
             _OPERATOR_WATCH,
-            clock.ZERO,
-            may_be_stale=False,
+            lambda: clock.ZERO,
         )
 
     async def follow_targets(self) -> None:
@@ -93,8 +96,7 @@
             self._state.targets,
             self._state.apply_targets,
             _TARGET_WATCH,
-            _TARGET_PAUSE,
-            may_be_stale=False,
+            self._find_target_pause,
         )
 
     async def _follow(
@@ -103,8 +105,7 @@
         replica: published.PrefixReplica,
         apply: Callable[[deployment.PrefixChanges], None],
         wait: clock.Milliseconds,
-        pause: clock.Milliseconds,
-        may_be_stale: bool,
+        find_pause: Callable[[], clock.Milliseconds],
     ) -> None:
         """Read all items, then watch for changes, until cancelled."""
         backoff = _FIRST_BACKOFF
@@ -112,9 +113,7 @@
         while True:
             try:
                 if is_whole:
-                    changes = await self._watch(
-                        prefix, replica.revision, wait, may_be_stale
-                    )
+                    changes = await self._watch(prefix, replica.revision, wait)
                 else:
                     changes = await self._read_all(prefix)
             except store.HistoryLostError as error:
@@ -133,9 +132,14 @@
             # the first answer after it.
             self._note_answer()
             apply(changes)
-            await asyncio.sleep(
-                (pause * self._random.uniform(0.8, 1.2)).seconds
-            )
+            spread = self._random.uniform(0.8, 1.2)
+            await asyncio.sleep((find_pause() * spread).seconds)
+
+    def _find_target_pause(self) -> clock.Milliseconds:
+        """Return the pause that keeps the whole fleet within the rate."""
+        nodes = len(self._state.hosts)
+        rate = self._reads_per_second * _WATCH_PART
+        return max(_TARGET_PAUSE, clock.Milliseconds(nodes / rate * 1000.0))
 
     async def _read_all(self, prefix: str) -> deployment.PrefixChanges:
         """Return all items; pages after the first may be newer."""
@@ -143,7 +147,7 @@
         items: list[deployment.PublishedItem] = []
         revision = -1
         while True:
-            path = store.build_range_path(prefix, after, False)
+            path = store.build_range_path(prefix, after)
             status, body = await self._call("range", path, _READ_WAIT)
             page, after = store.decode_range(status, body)
             items += page.items
@@ -157,9 +161,8 @@
         prefix: str,
         after: int,
         wait: clock.Milliseconds,
-        may_be_stale: bool,
     ) -> deployment.PrefixChanges:
-        path = store.build_watch_path(prefix, after, wait, may_be_stale)
+        path = store.build_watch_path(prefix, after, wait)
         status, body = await self._call("watch", path, wait + _WATCH_SLACK)
         return store.decode_watch(status, body, after)
 
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -92,3 +92,21 @@
             assert took < _REAPPEARANCE * 0.9
 
     asyncio.run(remove())
+
+
+def test_watches_of_many_nodes_stay_below_the_rate_of_the_store():
+    # While targets change all the time every watch returns at once; with one
+    # read a second for the fleet, a node alone takes half of it.
+    async def change_all_the_time() -> None:
+        async with _run_reader(reads_per_second=1.0) as (store, _):
+            before = store.reads
+            for number in range(60):
+                store.put(
+                    f"servers/i-{number}",
+                    platform_builders.build_target_value(),
+                )
+                await asyncio.sleep(0.05)
+            # Three seconds with a pause of two, shortened by up to a fifth.
+            assert store.reads - before <= 2
+
+    asyncio.run(change_all_the_time())
