Refuse at the entry what full targets have just refused

Cause: an entry node knew nothing of refusals, so under overload every request asked two full targets and, when its caller returned, two more. Ruled out as the cause: the choice itself; both targets asked were the least loaded.

--- a/cyclamenwell/routing/placement.py
+++ b/cyclamenwell/routing/placement.py
@@ -90,6 +90,7 @@
         tried: Collection[str],
         route: str,
         transfer_bytes: int,
+        full: Collection[str] = (),
     ) -> deployment.TargetEntry | None:
         """Return the target for a request, or None if there is none.
 
@@ -105,6 +106,9 @@
             Route of the request, whose usual time is known.
         transfer_bytes : int
             Bytes of the request and, as far as known, of its answer.
+        full : collection of str
+            Targets without room. If there are others only that can not be
+            reached, nothing is chosen.
         """
         now = self._time.now()
         usable = [
@@ -119,8 +123,9 @@
             for entry in usable
             if self._find_record(entry.target_id).paused_until <= now
         ]
+        roomy = [entry for entry in awake if entry.target_id not in full]
         return min(
-            awake or usable,
+            roomy if awake else usable,
             key=lambda entry: self._rate(entry, route, transfer_bytes, now),
             default=None,
         )
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -7,12 +7,14 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.admission import patience
+from cyclamenwell.admission import slots
 from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import sidecar
 from cyclamenwell.retries import arrivals
 from cyclamenwell.retries import repeats
+from cyclamenwell.routing import fullness
 from cyclamenwell.routing import placement as placements
 from cyclamenwell.sidecar import executor as executors
 from cyclamenwell.sidecar import figures as figure_module
@@ -32,6 +34,8 @@
         _Kind.WRONG_INSTANCE,
     }
 )
+# Refusals for want of room, after which a target is not asked for a moment.
+_FULL = frozenset({_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_SHED})
 # For a round trip between data centres and a busy moment of the other node.
 _REPLY_SLACK = clock.Milliseconds(300)
 # A body up to this size goes along with the offer of an idempotent request.
@@ -90,6 +94,8 @@
         Targets and data centres taken out.
     placement : placements.Placement
         Chooses targets.
+    full : fullness.FullTargets
+        Remembers targets without room.
     budget : arrivals.ArrivalBudget
         Bounds repeated arrivals.
     executor : executors.Executor
@@ -108,6 +114,7 @@
         time: clock.Clock,
         state: published.PublishedState,
         placement: placements.Placement,
+        full: fullness.FullTargets,
         budget: arrivals.ArrivalBudget,
         executor: executors.Executor,
         links: peers.LinkPool,
@@ -118,6 +125,7 @@
         self._time = time
         self._state = state
         self._placement = placement
+        self._full = full
         self._budget = budget
         self._executor = executor
         self._links = links
@@ -138,12 +146,26 @@
         tried: set[str] = set()
         failure: executors.AttemptError | None = None
         while True:
-            entry = self._choose(call, tried)
+            max_wait = self._find_max_wait(call)
+            entries = self._state.list_targets(call.service)
+            full = self._full.list_full(
+                (entry.target_id for entry in entries),
+                slots.rank_request(call.is_further, call.priority),
+                max_wait,
+            )
+            entry = self._placement.choose(
+                entries,
+                self._state.data_centres_out,
+                tried,
+                call.route.name,
+                len(call.request.body),
+                full,
+            )
             if entry is None:
-                raise self._conclude(call, attempts, failure)
+                raise self._conclude(call, attempts, failure, full)
             tried.add(entry.target_id)
             try:
-                return await self._attempt(call, entry)
+                return await self._attempt(call, entry, max_wait)
             except executors.AttemptError as error:
                 failure = error
             attempts = attempts.add(
@@ -159,7 +181,7 @@
                 left_ms=round((call.deadline - self._time.now()).value),
             )
             if not self._may_repeat(call, attempts, failure):
-                raise self._conclude(call, attempts, failure)
+                raise self._conclude(call, attempts, failure, full)
 
     def _may_repeat(
         self,
@@ -176,28 +198,20 @@
             return self._budget.spend(call.service)
         return repeat is repeats.Repeat.FREE
 
-    def _choose(
-        self, call: RoutedCall, tried: set[str]
-    ) -> deployment.TargetEntry | None:
-        return self._placement.choose(
-            self._state.list_targets(call.service),
-            self._state.data_centres_out,
-            tried,
-            call.route.name,
-            len(call.request.body),
-        )
-
     async def _attempt(
-        self, call: RoutedCall, entry: deployment.TargetEntry
+        self,
+        call: RoutedCall,
+        entry: deployment.TargetEntry,
+        max_wait: clock.Milliseconds,
     ) -> deployment.Result:
         self._placement.begin(entry.target_id)
         try:
             if entry.host == self._settings.host:
-                result = await self._run_here(call, entry)
+                result = await self._run_here(call, entry, max_wait)
             else:
-                result = await self._run_there(call, entry)
+                result = await self._run_there(call, entry, max_wait)
         except executors.AttemptError as error:
-            self._note_failure(entry, error)
+            self._note_failure(call, entry, max_wait, error)
             raise
         finally:
             self._placement.end(entry.target_id)
@@ -210,30 +224,47 @@
         return result
 
     def _note_failure(
-        self, entry: deployment.TargetEntry, error: executors.AttemptError
+        self,
+        call: RoutedCall,
+        entry: deployment.TargetEntry,
+        max_wait: clock.Milliseconds,
+        error: executors.AttemptError,
     ) -> None:
         if error.kind in _AWAY:
             self._placement.pause(entry.target_id)
+        elif error.kind in _FULL:
+            self._full.note_refusal(
+                entry.target_id,
+                slots.rank_request(call.is_further, call.priority),
+                max_wait,
+                error.retry_after,
+            )
         elif not error.not_run:
             self._placement.note_failure(entry.target_id)
 
     async def _run_here(
-        self, call: RoutedCall, entry: deployment.TargetEntry
+        self,
+        call: RoutedCall,
+        entry: deployment.TargetEntry,
+        max_wait: clock.Milliseconds,
     ) -> deployment.Result:
-        offer = self._build_offer(call, entry, request=None)
+        offer = self._build_offer(call, entry, max_wait, request=None)
         async with self._executor.reserve(offer) as slot:
             deadline = call.deadline - _ANSWER_MARGIN
             return await self._executor.run(offer, call.request, deadline, slot)
 
     async def _run_there(
-        self, call: RoutedCall, entry: deployment.TargetEntry
+        self,
+        call: RoutedCall,
+        entry: deployment.TargetEntry,
+        max_wait: clock.Milliseconds,
     ) -> deployment.Result:
         is_inline = (
             call.route.kind is enumerations.RequestKind.IDEMPOTENT
             and len(call.request.body) <= _MAX_INLINE_BYTES
         )
         offer = self._build_offer(
-            call, entry, request=call.request if is_inline else None
+            call, entry, max_wait, call.request if is_inline else None
         )
         is_sent = False
         try:
@@ -323,15 +354,9 @@
         self,
         call: RoutedCall,
         entry: deployment.TargetEntry,
+        max_wait: clock.Milliseconds,
         request: deployment.ForwardedRequest | None,
     ) -> deployment.Offer:
-        remaining = self._find_remaining(call)
-        max_wait = patience.find_max_wait(
-            call.is_further,
-            clock.Milliseconds(call.route.objective_ms),
-            remaining,
-            self._placement.find_usual_time(call.route.name),
-        )
         return deployment.Offer(
             request_id=call.request_id,
             service=call.service,
@@ -339,13 +364,22 @@
             kind=call.route.kind,
             priority=call.priority,
             is_further=call.is_further,
-            remaining_ms=remaining.value,
+            remaining_ms=self._find_remaining(call).value,
             max_wait_ms=max_wait.value,
             organisation=call.organisation,
             caller_service=self._settings.service,
             request=request,
         )
 
+    def _find_max_wait(self, call: RoutedCall) -> clock.Milliseconds:
+        """Return the longest time that a request may wait for a slot."""
+        return patience.find_max_wait(
+            call.is_further,
+            clock.Milliseconds(call.route.objective_ms),
+            self._find_remaining(call),
+            self._placement.find_usual_time(call.route.name),
+        )
+
     def _find_remaining(self, call: RoutedCall) -> clock.Milliseconds:
         return call.deadline - self._time.now() - _ANSWER_MARGIN
 
@@ -354,8 +388,16 @@
         call: RoutedCall,
         attempts: repeats.Attempts,
         failure: executors.AttemptError | None,
+        full: frozenset[str],
     ) -> exceptions.RefusedError:
         """Return the failure that the caller gets."""
+        if failure is None and full:
+            return exceptions.RefusedError(
+                _Kind.OVERLOADED,
+                f"targets of {call.service} refused a moment ago: "
+                + ", ".join(sorted(full)),
+                self._full.find_room(full),
+            )
         if failure is None:
             return exceptions.RefusedError(
                 _Kind.NO_INSTANCE, f"no target of {call.service} is available"
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -18,6 +18,7 @@
 from cyclamenwell.generated import sidecar
 from cyclamenwell.platform import settings as settings_reader
 from cyclamenwell.retries import arrivals
+from cyclamenwell.routing import fullness
 from cyclamenwell.routing import placement as placements
 from cyclamenwell.sidecar import dispatcher as dispatchers
 from cyclamenwell.sidecar import executor as executors
@@ -101,6 +102,7 @@
                 time,
                 self._state,
                 self._placement,
+                fullness.FullTargets(time, self._random),
                 self._budget,
                 executor,
                 self._links,
