Test slow readers, crossing closes and full parts of a split

Cause: three situations that docs/platform.md names had no test of their own: a caller that does not read, a request that crosses the node's close, and a part of a split route that has no room.

Change: test_front plays them against a stand-in of the dispatcher, whose builder moved to the builders of test data. The checks of the answer after an unexpected failure are as before.

--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import itertools
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -26,9 +28,12 @@
 from cyclamenwell.platform.tests import builders as platform_builders
 from cyclamenwell.platform.tests import store_standin
 from cyclamenwell.platform.tests import target_standin
+from cyclamenwell.sidecar import dispatcher as dispatchers
 from cyclamenwell.sidecar import executor as executors
 from cyclamenwell.sidecar import figures
+from cyclamenwell.sidecar import front as fronts
 from cyclamenwell.sidecar import http_client
+from cyclamenwell.sidecar import parts
 from cyclamenwell.sidecar import streams
 from cyclamenwell.telemetry import journal
 
@@ -122,6 +127,89 @@
         target.stop()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatcherStandin:
+    """A dispatcher that answers as a function says and keeps the calls.
+
+    Parameters
+    ----------
+    answer : callable
+        Returns the body of an answer to a call, or raises.
+    calls : list of dispatchers.RoutedCall
+        Calls so far.
+    """
+
+    answer: Callable[[dispatchers.RoutedCall], bytes]
+    calls: list[dispatchers.RoutedCall] = dataclasses.field(
+        default_factory=list
+    )
+
+    async def run(self, call: dispatchers.RoutedCall) -> deployment.Result:
+        """Answer a call."""
+        self.calls.append(call)
+        body = self.answer(call)
+        return deployment.Result(call.request_id, 200, (), body)
+
+
+def build_route(*services: str, **changes) -> deployment.Route:
+    """Return a route to services of the same weight."""
+    values = {
+        "name": "read",
+        "host": "meters.example",
+        "prefix": "/",
+        "timeout_ms": 1000.0,
+        "objective_ms": 500.0,
+        "services": tuple(
+            deployment.WeightedService(service, 1.0) for service in services
+        ),
+    }
+    return deployment.Route(**(values | changes))
+
+
+def encode_call(path: str = "/1", request_id: str = "r") -> bytes:
+    """Return a caller's request."""
+    fields = [("host", "meters.example"), (names.REQUEST_ID, request_id)]
+    return encoding.encode_request("GET", path, fields, b"")
+
+
+@contextlib.asynccontextmanager
+async def run_front(
+    dispatcher: DispatcherStandin, route: deployment.Route
+) -> AsyncIterator[tuple[fronts.Front, int]]:
+    """Run a front before a stand-in of the dispatcher; yield its port too."""
+    time = clock.SystemClock()
+    log = build_log()
+    state = published.PublishedState(time, clock.Milliseconds(2000))
+    state.apply_operators(
+        published_builders.list_all(
+            1, published_builders.build_configuration(1, 1, routes=(route,))
+        )
+    )
+    state.apply_targets(
+        published_builders.list_all(
+            1, published_builders.build_target("i-1", 1)
+        )
+    )
+    node = parts.Parts(
+        settings=sidecar.SidecarSettings(host=LOOPBACK),
+        time=time,
+        log=log,
+        figures=figures.Figures(),
+        state=state,
+        executor=None,
+        dispatcher=dispatcher,
+        shares=None,
+        spread=None,
+    )
+    front = fronts.Front(node, random.Random(1))
+    front.follow_state()
+    listener = streams.Listener(LOOPBACK, 0, front.serve, log)
+    try:
+        yield front, listener.port
+    finally:
+        listener.close()
+
+
 @dataclasses.dataclass(slots=True)
 class Machine:
     """A node process with the target beside it."""
