Pass what all parts of a sidecar node share as one object

Change: sidecar/context.NodeContext holds them; Parts extends it.

Conclusion: a new part of a node needs one argument for all of it.

--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -8,18 +8,15 @@
 from cyclamenwell import exceptions
 from cyclamenwell.admission import patience
 from cyclamenwell.admission import slots
-from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import sidecar
 from cyclamenwell.retries import arrivals
 from cyclamenwell.retries import repeats
 from cyclamenwell.routing import fullness
 from cyclamenwell.routing import placement as placements
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import executor as executors
-from cyclamenwell.sidecar import figures as figure_module
 from cyclamenwell.sidecar import peers
-from cyclamenwell.telemetry import journal
 
 __all__ = ["Dispatcher", "RoutedCall"]
 
@@ -86,12 +83,8 @@
 
     Parameters
     ----------
-    settings : sidecar.SidecarSettings
-        Settings of the node.
-    time : clock.Clock
-        Clock of deadlines.
-    state : published.PublishedState
-        Targets and data centres taken out.
+    context : contexts.NodeContext
+        What all parts of the node share.
     placement : placements.Placement
         Chooses targets.
     full : fullness.FullTargets
@@ -102,35 +95,26 @@
         Runs requests at the own target.
     links : peers.LinkPool
         Links to other nodes.
-    log : journal.Journal
-        Takes decisions.
-    figures : figure_module.Figures
-        Counts outcomes.
     """
 
     def __init__(
         self,
-        settings: sidecar.SidecarSettings,
-        time: clock.Clock,
-        state: published.PublishedState,
+        context: contexts.NodeContext,
         placement: placements.Placement,
         full: fullness.FullTargets,
         budget: arrivals.ArrivalBudget,
         executor: executors.Executor,
         links: peers.LinkPool,
-        log: journal.Journal,
-        figures: figure_module.Figures,
     ) -> None:
-        self._settings = settings
-        self._time = time
-        self._state = state
+        self._settings = context.settings
+        self._time = context.time
+        self._state = context.state
         self._placement = placement
         self._full = full
         self._budget = budget
         self._executor = executor
         self._links = links
-        self._log = log
-        self._figures = figures
+        self._log = context.log
 
     async def run(self, call: RoutedCall) -> deployment.Result:
         """Return the whole answer of a target.
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -9,16 +9,13 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.admission import slots
-from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
-from cyclamenwell.generated import sidecar
 from cyclamenwell.node import encoding
 from cyclamenwell.platform import dialect
-from cyclamenwell.sidecar import figures as figure_module
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import gate as gates
 from cyclamenwell.sidecar import http_client
-from cyclamenwell.telemetry import journal
 
 __all__ = ["AttemptError", "Executor"]
 
@@ -83,31 +80,17 @@
 
     Parameters
     ----------
-    settings : sidecar.SidecarSettings
-        Settings of the node.
-    time : clock.Clock
-        Clock of deadlines.
-    state : published.PublishedState
-        What is known of targets and configuration.
-    log : journal.Journal
-        Takes decisions.
-    figures : figure_module.Figures
-        Counts outcomes.
+    context : contexts.NodeContext
+        What all parts of the node share.
     """
 
-    def __init__(
-        self,
-        settings: sidecar.SidecarSettings,
-        time: clock.Clock,
-        state: published.PublishedState,
-        log: journal.Journal,
-        figures: figure_module.Figures,
-    ) -> None:
+    def __init__(self, context: contexts.NodeContext) -> None:
+        settings, time = context.settings, context.time
         self._settings = settings
         self._time = time
-        self._state = state
-        self._log = log
-        self._figures = figures
+        self._state = context.state
+        self._log = context.log
+        self._figures = context.figures
         address = settings.target_address
         self._pool = http_client.HttpPool(
             time, address.host, address.port, _CONNECT_WAIT, self._note_loss
--- a/cyclamenwell/sidecar/front.py
+++ b/cyclamenwell/sidecar/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -53,13 +52,10 @@
     ----------
     node : parts.Parts
         Parts of the node.
-    generator : random.Random
-        Spreads the callers that shall come back.
     """
 
-    def __init__(self, node: parts.Parts, generator: random.Random) -> None:
+    def __init__(self, node: parts.Parts) -> None:
         self._node = node
-        self._random = generator
         self._table: hosts.HostTable | None = None
         self._rotation = hosts.SplitRotation()
         self._streams: dict[streams.Stream, bool] = {}  # Whether it is busy.
@@ -306,6 +302,6 @@
                 refusal.retry_after,
                 clock.Milliseconds(call.route.objective_ms),
                 waits - elapsed,
-                self._random,
+                self._node.generator,
             )
             raise
--- a/cyclamenwell/sidecar/parts.py
+++ b/cyclamenwell/sidecar/parts.py
@@ -5,13 +5,10 @@
 import dataclasses
 from typing import Any
 
-from cyclamenwell import clock
-from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
-from cyclamenwell.generated import sidecar
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import dispatcher as dispatchers
 from cyclamenwell.sidecar import executor as executors
-from cyclamenwell.sidecar import figures as figure_module
 from cyclamenwell.sidecar import shares as share_module
 from cyclamenwell.sidecar import spread as spreads
 from cyclamenwell.telemetry import journal
@@ -20,21 +17,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Parts:
+class Parts(contexts.NodeContext):
     """Everything that a connection of a caller or a peer needs.
 
     Parameters
     ----------
-    settings : sidecar.SidecarSettings
-        Settings of the node.
-    time : clock.Clock
-        Clock of deadlines.
-    log : journal.Journal
-        Takes decisions.
-    figures : figure_module.Figures
-        Counts outcomes.
-    state : published.PublishedState
-        What is known of configuration and targets.
     executor : executors.Executor
         Runs requests at the own target.
     dispatcher : dispatchers.Dispatcher
@@ -45,11 +32,6 @@
         Exchanges state with other nodes.
     """
 
-    settings: sidecar.SidecarSettings
-    time: clock.Clock
-    log: journal.Journal
-    figures: figure_module.Figures
-    state: published.PublishedState
     executor: executors.Executor
     dispatcher: dispatchers.Dispatcher
     shares: share_module.Shares
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -20,6 +20,7 @@
 from cyclamenwell.retries import arrivals
 from cyclamenwell.routing import fullness
 from cyclamenwell.routing import placement as placements
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import dispatcher as dispatchers
 from cyclamenwell.sidecar import executor as executors
 from cyclamenwell.sidecar import figures as figure_module
@@ -71,7 +72,6 @@
         self._settings = settings
         self._time = time
         self._log = log
-        self._random = random.Random()
         self._peer_connections = 0  # Accepted since the start.
         self._must_stop = asyncio.Event()
         self._must_reload = asyncio.Event()
@@ -79,59 +79,40 @@
             time, settings.bounds.reappearance
         )
         self._figures = figure_module.Figures()
-        self._links = peers.LinkPool(time, settings.peer_port)
+        generator = random.Random()
+        context = contexts.NodeContext(
+            settings, time, self._state, generator, log, self._figures
+        )
         self._placement = placements.Placement(
-            time, settings.host, settings.data_centre, self._random
+            time, settings.host, settings.data_centre, generator
         )
         bounds = settings.bounds
         self._budget = arrivals.ArrivalBudget(
             time, bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
-        executor = executors.Executor(
-            settings, time, self._state, log, self._figures
-        )
+        links = peers.LinkPool(time, settings.peer_port)
+        executor = executors.Executor(context)
         self._node = parts.Parts(
             settings=settings,
             time=time,
+            state=self._state,
+            generator=generator,
             log=log,
             figures=self._figures,
-            state=self._state,
             executor=executor,
             dispatcher=dispatchers.Dispatcher(
-                settings,
-                time,
-                self._state,
+                context,
                 self._placement,
-                fullness.FullTargets(time, self._random),
+                fullness.FullTargets(time, generator),
                 self._budget,
                 executor,
-                self._links,
-                log,
-                self._figures,
+                links,
             ),
-            shares=shares.Shares(
-                settings,
-                time,
-                self._state,
-                self._links,
-                self._random,
-                log,
-                self._figures,
-            ),
-            spread=spreads.Spread(
-                settings,
-                time,
-                self._state,
-                self._links,
-                self._random,
-                log,
-                self._figures,
-            ),
-        )
-        self._front = fronts.Front(self._node, self._random)
-        self._reader = store_reader.StoreReader(
-            settings.store, time, self._state, self._random, log, self._figures
+            shares=shares.Shares(context, links),
+            spread=spreads.Spread(context, links),
         )
+        self._front = fronts.Front(self._node)
+        self._reader = store_reader.StoreReader(context)
         self._operations = operations.Operations(self._is_ready, self._figures)
         self._state.add_listener(self._follow_state)
 
--- a/cyclamenwell/sidecar/shares.py
+++ b/cyclamenwell/sidecar/shares.py
@@ -3,18 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
-from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
-from cyclamenwell.generated import sidecar
 from cyclamenwell.limits import fleet_share
 from cyclamenwell.membership import rendezvous
-from cyclamenwell.sidecar import figures as figure_module
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import peers
-from cyclamenwell.telemetry import journal
 
 __all__ = ["Shares"]
 
@@ -34,39 +30,23 @@
 
     Parameters
     ----------
-    settings : sidecar.SidecarSettings
-        Settings of the node.
-    time : clock.Clock
-        Clock of the limits.
-    state : published.PublishedState
-        Nodes of the fleet.
+    context : contexts.NodeContext
+        What all parts of the node share.
     links : peers.LinkPool
         Links to other nodes.
-    generator : random.Random
-        Spreads the messages of many nodes.
-    log : journal.Journal
-        Takes lost contact.
-    figures : figure_module.Figures
-        Counts messages.
     """
 
     def __init__(
-        self,
-        settings: sidecar.SidecarSettings,
-        time: clock.Clock,
-        state: published.PublishedState,
-        links: peers.LinkPool,
-        generator: random.Random,
-        log: journal.Journal,
-        figures: figure_module.Figures,
+        self, context: contexts.NodeContext, links: peers.LinkPool
     ) -> None:
+        settings, time = context.settings, context.time
         self._host = settings.host
         self._time = time
-        self._state = state
+        self._state = context.state
         self._links = links
-        self._random = generator
-        self._log = log
-        self._figures = figures
+        self._random = context.generator
+        self._log = context.log
+        self._figures = context.figures
         self._paused: dict[str, clock.Milliseconds] = {}
         self._dividers: dict[str, str] = {}
         self._divided_by: tuple[str, ...] = ()
--- a/cyclamenwell/sidecar/spread.py
+++ b/cyclamenwell/sidecar/spread.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
-from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
-from cyclamenwell.generated import sidecar
-from cyclamenwell.sidecar import figures as figure_module
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import peers
-from cyclamenwell.telemetry import journal
 
 __all__ = ["Spread"]
 
@@ -30,39 +26,21 @@
 
     Parameters
     ----------
-    settings : sidecar.SidecarSettings
-        Settings of the node.
-    time : clock.Clock
-        Clock of ages.
-    state : published.PublishedState
-        State that is compared.
+    context : contexts.NodeContext
+        What all parts of the node share.
     links : peers.LinkPool
         Links to other nodes.
-    generator : random.Random
-        Chooses nodes.
-    log : journal.Journal
-        Takes changes.
-    figures : figure_module.Figures
-        Counts changes.
     """
 
     def __init__(
-        self,
-        settings: sidecar.SidecarSettings,
-        time: clock.Clock,
-        state: published.PublishedState,
-        links: peers.LinkPool,
-        generator: random.Random,
-        log: journal.Journal,
-        figures: figure_module.Figures,
+        self, context: contexts.NodeContext, links: peers.LinkPool
     ) -> None:
-        self._settings = settings
-        self._time = time
-        self._state = state
+        self._settings = context.settings
+        self._state = context.state
         self._links = links
-        self._random = generator
-        self._log = log
-        self._figures = figures
+        self._random = context.generator
+        self._log = context.log
+        self._figures = context.figures
         self._wanted: set[str] = set()
         self._known_hosts: set[str] = set()
         self._has_work = asyncio.Event()
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -4,19 +4,16 @@
 
 import asyncio
 from collections.abc import Callable
-import random
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
-from cyclamenwell.generated import sidecar
 from cyclamenwell.node import encoding
 from cyclamenwell.platform import names
 from cyclamenwell.platform import store
-from cyclamenwell.sidecar import figures as figure_module
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import http_client
-from cyclamenwell.telemetry import journal
 
 __all__ = ["StoreReader"]
 
@@ -42,34 +39,17 @@
 
     Parameters
     ----------
-    settings : sidecar.StoreSettings
-        Address of the store.
-    time : clock.Clock
-        Clock of ages.
-    state : published.PublishedState
-        Takes what the store says.
-    generator : random.Random
-        Spreads the calls of many nodes.
-    log : journal.Journal
-        Takes lost and regained contact.
-    figures : figure_module.Figures
-        Counts calls.
+    context : contexts.NodeContext
+        What all parts of the node share.
     """
 
-    def __init__(
-        self,
-        settings: sidecar.StoreSettings,
-        time: clock.Clock,
-        state: published.PublishedState,
-        generator: random.Random,
-        log: journal.Journal,
-        figures: figure_module.Figures,
-    ) -> None:
+    def __init__(self, context: contexts.NodeContext) -> None:
+        settings, time = context.settings.store, context.time
         self._time = time
-        self._state = state
-        self._random = generator
-        self._log = log
-        self._figures = figures
+        self._state = context.state
+        self._random = context.generator
+        self._log = context.log
+        self._figures = context.figures
         self._reads_per_second = settings.reads_per_second
         address = settings.address
         self._host = f"{address.host}:{address.port}"
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -28,6 +28,7 @@
 from cyclamenwell.platform.tests import builders as platform_builders
 from cyclamenwell.platform.tests import store_standin
 from cyclamenwell.platform.tests import target_standin
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import dispatcher as dispatchers
 from cyclamenwell.sidecar import executor as executors
 from cyclamenwell.sidecar import figures
@@ -95,7 +96,11 @@
         service="desk",
         target_address=sidecar.SocketAddress(LOOPBACK, target.port),
     )
-    executor = executors.Executor(settings, time, state, log, figures.Figures())
+    executor = executors.Executor(
+        contexts.NodeContext(
+            settings, time, state, random.Random(1), log, figures.Figures()
+        )
+    )
     state.apply_operators(
         published_builders.list_all(
             1,
@@ -193,15 +198,16 @@
     node = parts.Parts(
         settings=sidecar.SidecarSettings(host=LOOPBACK),
         time=time,
+        state=state,
+        generator=random.Random(1),
         log=log,
         figures=figures.Figures(),
-        state=state,
         executor=None,
         dispatcher=dispatcher,
         shares=None,
         spread=None,
     )
-    front = fronts.Front(node, random.Random(1))
+    front = fronts.Front(node)
     front.follow_state()
     listener = streams.Listener(LOOPBACK, 0, front.serve, log)
     try:
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -12,6 +12,7 @@
 from cyclamenwell.generated import sidecar
 from cyclamenwell.platform.tests import builders as platform_builders
 from cyclamenwell.platform.tests import store_standin
+from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import figures
 from cyclamenwell.sidecar import store_reader
 from cyclamenwell.sidecar.tests import builders
@@ -30,12 +31,16 @@
     await store.start(builders.LOOPBACK)
     store.put("servers/i-1", platform_builders.build_target_value())
     state = published.PublishedState(time, _REAPPEARANCE)
-    settings = sidecar.StoreSettings(
-        address=sidecar.SocketAddress(builders.LOOPBACK, store.port),
-        reads_per_second=reads_per_second,
+    settings = sidecar.SidecarSettings(
+        store=sidecar.StoreSettings(
+            address=sidecar.SocketAddress(builders.LOOPBACK, store.port),
+            reads_per_second=reads_per_second,
+        )
     )
     reader = store_reader.StoreReader(
-        settings, time, state, random.Random(1), log, figures.Figures()
+        contexts.NodeContext(
+            settings, time, state, random.Random(1), log, figures.Figures()
+        )
     )
     task = asyncio.create_task(reader.follow_targets())
     try:
