Add a fault soak of sidecar nodes

Cause: the soak of this project played nodes of our own interface only; the path on the platform's machines had single tests of faults.

Change: soak/sidecars plays real processes under seeded, overlapping faults (kill, stop, pause, store, history, spoiled answers, leaving targets, new configurations) and ten checks of what callers and targets saw. The stand-in of the target notes when a request came.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: test lint format generate check-generated demo bench experiments \
-	soak capacity
+	soak soak-sidecars capacity
 
 RESULTS ?= build/experiments
 
@@ -50,6 +50,12 @@
 	$(BIN)/python -m cyclamenwell.soak --seed $(SEED) \
 		--duration $(DURATION) --nodes $(NODES) --output build/soak
 
+# Sidecar nodes; a run takes DURATION and about 15 seconds more.
+soak-sidecars: $(STAMP)
+	$(BIN)/python -m cyclamenwell.soak.sidecars --seed $(SEED) \
+		--duration $(DURATION) --nodes $(NODES) \
+		--output build/soak/sidecars-$(SEED)
+
 # Takes about a minute; figures of another bench run go in as
 # CAPACITY="--added-p99-ms X --added-processor-ms Y".
 capacity: $(STAMP)
--- a/cyclamenwell/platform/tests/target_standin.py
+++ b/cyclamenwell/platform/tests/target_standin.py
@@ -27,10 +27,13 @@
         Request as it came.
     ended : bool
         Whether the target finished it.
+    begun : clock.Milliseconds
+        When it came.
     """
 
     request: calls.HttpRequest
     ended: bool
+    begun: clock.Milliseconds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +76,7 @@
         self.running = 0
         self._faults: list[Fault] = []
         self._log = log
+        self._time = clock.SystemClock()
         self._server: streams.Listener | None = None
 
     @property
@@ -155,11 +159,12 @@
 
     async def _run(self, request: calls.HttpRequest) -> None:
         index = len(self.runs)
-        self.runs.append(Run(request, ended=False))
+        begun = self._time.now()
+        self.runs.append(Run(request, False, begun))
         self.running += 1
         try:
             await asyncio.sleep(self.work.seconds)
-            self.runs[index] = Run(request, ended=True)
+            self.runs[index] = Run(request, True, begun)
         finally:
             self.running -= 1
 
