Play targets that restart cold in the soak of sidecar nodes

Change: a fault ends all connections of a target, which is cold for 1.5 to 4 s afterwards; a check counts the requests of each second there against the rate with its tolerance (42.5 a second here, where a target gets about 53 when it is warm). The check is shown failing.

--- a/cyclamenwell/platform/tests/target_standin.py
+++ b/cyclamenwell/platform/tests/target_standin.py
@@ -74,6 +74,8 @@
         self.runs: list[Run] = []
         self.connections = 0
         self.running = 0
+        self._cold_until = clock.ZERO
+        self._streams: set[streams.Stream] = set()
         self._faults: list[Fault] = []
         self._log = log
         self._time = clock.SystemClock()
@@ -92,6 +94,12 @@
         """Refuse new connections."""
         self._server.close()
 
+    def restart(self, cold: clock.Milliseconds) -> None:
+        """End all connections, as a crash does, and be cold for a time."""
+        self._cold_until = self._time.now() + cold
+        for stream in list(self._streams):
+            stream.abort()
+
     def spoil(self, *faults: Fault) -> None:
         """Spoil the next answers."""
         self._faults += [
@@ -100,17 +108,25 @@
 
     async def _serve(self, stream: streams.Stream) -> None:
         self.connections += 1
+        self._streams.add(stream)
         parser = http1.RequestParser()
-        while True:
-            while (received := parser.take()) is None:
-                data = await stream.receive(_IDLE)
-                if not data:
-                    return
-                parser.feed(data)
-            with stream.cancelling():
-                keeps = await self._answer(received.request, stream)
-            if not keeps:
-                return
+        try:
+            while await self._serve_next(stream, parser):
+                pass
+        finally:
+            self._streams.discard(stream)
+
+    async def _serve_next(
+        self, stream: streams.Stream, parser: http1.RequestParser
+    ) -> bool:
+        """Answer the next request; return whether another one may follow."""
+        while (received := parser.take()) is None:
+            data = await stream.receive(_IDLE)
+            if not data:
+                return False
+            parser.feed(data)
+        with stream.cancelling():
+            return await self._answer(received.request, stream)
 
     async def _answer(
         self, request: calls.HttpRequest, stream: streams.Stream
@@ -118,7 +134,7 @@
         if request.path == "/health":
             fields = [
                 (names.INSTANCE_ID, self.target_id),
-                (names.COLD_MS, f"{self.cold.value:g}"),
+                (names.COLD_MS, f"{self._find_cold().value:g}"),
             ]
             _send(stream, 200, fields, b"")
             return True
@@ -157,6 +173,11 @@
             _send(stream, 200, sealed, body)
         return True
 
+    def _find_cold(self) -> clock.Milliseconds:
+        """Return how long the target stays cold."""
+        left = self._cold_until - self._time.now()
+        return max(self.cold, left)
+
     async def _run(self, request: calls.HttpRequest) -> None:
         index = len(self.runs)
         begun = self._time.now()
--- a/cyclamenwell/soak/sidecar_checks.py
+++ b/cyclamenwell/soak/sidecar_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -20,6 +21,10 @@
 # time, and a machine is in touch when nothing was wrong with it for this long.
 _DRAIN = clock.Milliseconds(2000)
 _IN_TOUCH = clock.Milliseconds(3000)
+# Tolerance of the pace, as the defaults of the settings say.
+_COLD_EXCESS = 1.5
+_COLD_SLACK = 5.0
+_SECOND = clock.Milliseconds(1000)
 _SERVED_WHEN_CALM = 0.95
 # A late answer is one that comes so long after the caller's time.
 _LATE = clock.Milliseconds(500)
@@ -118,6 +123,26 @@
         yield f"target {fault.node} got {late[:5]}" if late else None
 
 
+def check_cold(history: histories.SidecarHistory) -> _Finding:
+    """Find cold targets that get more requests in a second than they bear."""
+    most = COLD_PER_SECOND * _COLD_EXCESS + _COLD_SLACK
+    for fault in history.faults:
+        if fault.kind != "cold":
+            continue
+        times = sorted(
+            run.at
+            for run in history.runs
+            if run.target == fault.node and fault.begin < run.at < fault.end
+        )
+        counts = [
+            bisect.bisect_left(times, begin + _SECOND) - index
+            for index, begin in enumerate(times)
+        ]
+        worst = max(counts, default=0)
+        ok = worst <= most
+        yield None if ok else f"target {fault.node} got {worst} in a second"
+
+
 def check_stops(history: histories.SidecarHistory) -> _Finding:
     """Find processes that end unasked, late after SIGTERM or badly."""
     for stop in history.stops:
@@ -185,6 +210,8 @@
     yield None if ok else f"{part:.3f} of {len(calm)} were served"
 
 
+# Pace of a cold target in the published configuration.
+COLD_PER_SECOND = 25.0
 CALL_TIME = clock.Milliseconds(3000)  # What callers state as their time.
 CHECKS: tuple[Callable[[histories.SidecarHistory], _Finding], ...] = (
     check_once,
@@ -193,6 +220,7 @@
     check_answers,
     check_asked,
     check_leaving,
+    check_cold,
     check_stops,
     check_cut_requests,
     check_late,
--- a/cyclamenwell/soak/sidecar_plans.py
+++ b/cyclamenwell/soak/sidecar_plans.py
@@ -14,6 +14,7 @@
     "LeaveTarget",
     "PauseNode",
     "Publish",
+    "RestartTarget",
     "SidecarPlan",
     "SpoilAnswers",
     "StopNode",
@@ -40,6 +41,7 @@
 _PAUSED = (200.0, 2500.0)
 _STORE_AWAY = (500.0, 4000.0)
 _LEAVING = (3000.0, 6000.0)
+_COLD = (1500.0, 4000.0)
 _MAX_SPOILED = 6
 
 
@@ -110,6 +112,14 @@
     duration: clock.Milliseconds
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartTarget(Fault):
+    """A target crashes and is back at once, cold for some time."""
+
+    node: int
+    cold: clock.Milliseconds
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Publish(Fault):
     """Operators publish the next version of the configuration."""
@@ -179,6 +189,7 @@
             at, target, source.choice(_SPOILED), source.randint(1, _MAX_SPOILED)
         ),
         lambda: LeaveTarget(at, target, draw(_LEAVING)),
+        lambda: RestartTarget(at, target, draw(_COLD)),
         lambda: Publish(at),
     )
     return source.choice(makers)()
--- a/cyclamenwell/soak/sidecars.py
+++ b/cyclamenwell/soak/sidecars.py
@@ -120,7 +120,7 @@
             "health_path": "/health",
             "max_connections": 820,
             "cold_start_s": 1.0,
-            "cold_per_s": 25.0,
+            "cold_per_s": checks.COLD_PER_SECOND,
         }
         self.fleet.publish(
             f"{self.version:08x}",
@@ -331,6 +331,13 @@
     run.leaving.discard(fault.node)
 
 
+@_inject.register
+async def _(fault: plans.RestartTarget, run: SoakRun) -> None:
+    target = run.fleet.machines[fault.node].target
+    target.restart(fault.cold)
+    await run.hold("cold", fault.node, fault.cold)
+
+
 @_inject.register
 async def _(fault: plans.Publish, run: SoakRun) -> None:
     run.publish()
--- a/cyclamenwell/soak/tests/test_sidecars.py
+++ b/cyclamenwell/soak/tests/test_sidecars.py
@@ -58,6 +58,19 @@
             {"check_leaving"},
             {"faults": (builders.build_fault("leave", 1, 8000, 12_000),)},
         ),
+        (
+            {"check_cold"},
+            {
+                "calls": tuple(
+                    builders.build_call(f"s-{n}") for n in range(43)
+                ),
+                "runs": tuple(
+                    builders.build_run(f"s-{n}", at=MS(10_010 + 20 * n))
+                    for n in range(43)
+                ),
+                "faults": (builders.build_fault("cold", 1, 9900, 12_000),),
+            },
+        ),
         ({"check_stops"}, {"stops": (builders.build_stop(None, 9000, 1),)}),
         ({"check_stops"}, {"stops": (builders.build_stop(2000, 8100, 1),)}),
         (
