Leave out targets whose address another one has taken over

Entries of the targets before the loss stay until they lapse, after three missing reports, beside those of the new targets at the same addresses; half of the choices fell on the dead ones. Ruled out: old lists of targets, as the nodes had read the store anew.

Change: of the entries with one address only that which changed last in the store counts, for choosing as for the target beside a node. Until now a node took the youngest by the clocks of the targets for its own; those may be set back, and the new test of that fails with the old order.

--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -151,6 +151,7 @@
         self.configuration: deployment.Configuration | None = None
         self.data_centres_out: frozenset[str] = frozenset()
         self.entries: dict[str, deployment.TargetEntry] = {}
+        self._by_address: dict[tuple[str, int], deployment.TargetEntry] = {}
         self._by_service: dict[str, tuple[deployment.TargetEntry, ...]] = {}
         self._hosts: tuple[str, ...] = ()
 
@@ -212,14 +213,9 @@
     def find_target_at(
         self, host: str, port: int
     ) -> deployment.TargetEntry | None:
-        """Return the youngest entry with an address."""
+        """Return the entry with an address that changed last."""
         self.list_targets("")
-        found = [
-            entry
-            for entry in self.entries.values()
-            if entry.host == host and entry.port == port
-        ]
-        return max(found, key=lambda entry: entry.born_ms, default=None)
+        return self._by_address.get((host, port))
 
     @property
     def hosts(self) -> tuple[str, ...]:
@@ -250,15 +246,29 @@
 
     def _rebuild_targets(self) -> None:
         self.entries = dict(self._vanished)
+        # Addresses are used again; the entry of a target that is gone stays
+        # until it lapses. What changed last is there; the clocks of targets,
+        # which tell when they were born, may be set back.
+        last: dict[tuple[str, int], tuple[int, deployment.TargetEntry]] = {
+            (entry.host, entry.port): (0, entry)
+            for entry in self._vanished.values()
+        }
         for item in self.targets.items:
-            if item.target is not None:
-                self.entries[item.target.target_id] = item.target
+            entry = item.target
+            if entry is None:
+                continue
+            self.entries[entry.target_id] = entry
+            address = (entry.host, entry.port)
+            known = last.get(address)
+            if known is None or known[0] < item.revision:
+                last[address] = (item.revision, entry)
+        self._by_address = {key: entry for key, (_, entry) in last.items()}
         hosts = tuple(sorted({e.host for e in self.entries.values()}))
         if hosts != self._hosts:
             # The same object as before tells that nothing has changed.
             self._hosts = hosts
         by_service: dict[str, list[deployment.TargetEntry]] = {}
-        for entry in self.entries.values():
+        for entry in self._by_address.values():
             by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {
             service: tuple(entries) for service, entries in by_service.items()
--- a/cyclamenwell/configuration/tests/test_published.py
+++ b/cyclamenwell/configuration/tests/test_published.py
@@ -110,6 +110,27 @@
     assert state.list_targets("meter") == ()
 
 
+def test_a_target_whose_address_is_used_again_gets_nothing(state):
+    """Guards against offers to targets that are gone.
+
+    After a loss of power, entries of the targets before it are there until
+    they lapse, beside those of the new targets at the same addresses.
+    """
+    state.apply_targets(
+        builders.list_all(
+            10,
+            builders.build_target("i-1", 4, born_ms=1000),
+            builders.build_target("i-2", 5, born_ms=2000),
+            builders.build_target("i-3", 6, host="10.0.0.2", born_ms=500),
+            builders.build_target(
+                "i-4", 7, host="10.0.0.2", service="billing", born_ms=3000
+            ),
+        )
+    )
+    assert [e.target_id for e in state.list_targets("meter")] == ["i-2"]
+    assert [e.target_id for e in state.list_targets("billing")] == ["i-4"]
+
+
 def test_the_youngest_entry_of_an_address_counts(state):
     """Guards against a restarted target that is taken for its predecessor."""
     state.apply_targets(
@@ -122,6 +143,20 @@
     assert state.find_target_at("10.0.0.1", 80).target_id == "i-new"
 
 
+def test_a_target_whose_clock_was_set_back_replaces_its_predecessor(state):
+    """Guards against a dead target that hides the one at its address."""
+    state.apply_targets(
+        builders.list_all(10, builders.build_target("i-old", 4, born_ms=2000))
+    )
+    state.apply_targets(
+        builders.list_after(
+            10, 12, builders.build_target("i-new", 12, born_ms=1000)
+        )
+    )
+    assert state.find_target_at("10.0.0.1", 80).target_id == "i-new"
+    assert [e.target_id for e in state.list_targets("meter")] == ["i-new"]
+
+
 def test_data_centres_go_out_and_come_back(state):
     """Guards against a data centre that stays out."""
     out = deployment.PublishedItem("op/evacuate/a", 5, data_centre_out="a")
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -69,7 +69,10 @@
         async with _run_reader() as (store, state):
             store.mode = "refusing"
             # A change ends the open watch; the next one is refused.
-            store.put("servers/i-2", platform_builders.build_target_value())
+            store.put(
+                "servers/i-2",
+                platform_builders.build_target_value(address="127.0.0.3:80"),
+            )
             await asyncio.sleep(0.5)
             store.remove("servers/i-1")
             store.forget_history()
