Let refusals of a target count for their own rank only

A target keeps one admission in sixteen for requests that rank lower, but the entry node took the refusal of a request as one of all requests that rank lower, so it would not have offered them.

Change: the refusals are kept by target and rank, and are forgotten with their target. The module is called saturation, the term of the field.

--- a/cyclamenwell/admission/slots.py
+++ b/cyclamenwell/admission/slots.py
@@ -25,7 +25,7 @@
 # many goes to the oldest request that ranks lower. Without it, on a played day
 # further calls left none of 40 requests a second to the same targets, which
 # needed one slot in fifty.
-_TURNS_OF_HIGHER = 16
+_ADMISSIONS_PER_LOWER = 16
 # Weight of the newest service time in the moving average.
 _SERVICE_TIME_WEIGHT = 0.05
 _FIRST_SERVICE_TIME = clock.Milliseconds(100)
@@ -273,7 +273,7 @@
             self._turns = 0
             return 0
         self._turns += 1
-        if self._turns < _TURNS_OF_HIGHER:
+        if self._turns < _ADMISSIONS_PER_LOWER:
             return 0
         self._turns = 0
         return min(
@@ -305,7 +305,7 @@
             return first + pace * (ahead - 1)
         if self._waiting and ticket.rank > self._waiting[0].rank:
             lower = len(self._waiting) - self._find_first_lower() + 1
-            ahead = min(ahead, lower * _TURNS_OF_HIGHER)
+            ahead = min(ahead, lower * _ADMISSIONS_PER_LOWER)
         return self._service_time * (ahead / self.limit)
 
 
--- a/cyclamenwell/routing/placement.py
+++ b/cyclamenwell/routing/placement.py
@@ -107,7 +107,7 @@
         tried: Collection[str],
         route: str,
         transfer_bytes: int,
-        full: Collection[str] = (),
+        saturated: Collection[str] = (),
     ) -> deployment.TargetEntry | None:
         """Return the target for a request, or None if there is none.
 
@@ -123,9 +123,9 @@
             Route of the request, whose usual time is known.
         transfer_bytes : int
             Bytes of the request and, as far as known, of its answer.
-        full : collection of str
-            Targets without room. If there are others only that can not be
-            reached, nothing is chosen.
+        saturated : collection of str
+            Targets that have just refused requests like this one. If all
+            others can not be reached, nothing is chosen.
         """
         now = self._time.now().value
         usable = [
@@ -140,10 +140,10 @@
             for entry in usable
             if self._find_record(entry.target_id).paused_until.value <= now
         ]
-        roomy = [entry for entry in awake if entry.target_id not in full]
+        free = [entry for entry in awake if entry.target_id not in saturated]
         usual, _ = self._route_times.get(route, (_FIRST_TIME.value, 0))
         return min(
-            self._draw_candidates(roomy if awake else usable),
+            self._draw_candidates(free if awake else usable),
             key=lambda entry: self._rate(entry, usual, transfer_bytes, now),
             default=None,
         )
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -12,8 +12,8 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.retries import arrivals
 from cyclamenwell.retries import repeats
-from cyclamenwell.routing import fullness
 from cyclamenwell.routing import placement as placements
+from cyclamenwell.routing import saturation
 from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import executor as executors
 from cyclamenwell.sidecar import peers
@@ -31,8 +31,8 @@
         _Kind.WRONG_INSTANCE,
     }
 )
-# Refusals for want of room, after which a target is not asked for a moment.
-_FULL = frozenset({_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_SHED})
+# Refusals by a saturated target, which is not asked again for a moment.
+_SATURATED = frozenset({_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_SHED})
 # For a round trip between data centres and a busy moment of the other node.
 _REPLY_SLACK = clock.Milliseconds(300)
 # A body up to this size goes along with the offer of an idempotent request.
@@ -87,8 +87,8 @@
         What all parts of the node share.
     placement : placements.Placement
         Chooses targets.
-    full : fullness.FullTargets
-        Remembers targets without room.
+    saturated : saturation.SaturatedTargets
+        Remembers saturated targets.
     budget : arrivals.ArrivalBudget
         Bounds repeated arrivals.
     executor : executors.Executor
@@ -101,7 +101,7 @@
         self,
         context: contexts.NodeContext,
         placement: placements.Placement,
-        full: fullness.FullTargets,
+        saturated: saturation.SaturatedTargets,
         budget: arrivals.ArrivalBudget,
         executor: executors.Executor,
         links: peers.LinkPool,
@@ -110,7 +110,7 @@
         self._time = context.time
         self._state = context.state
         self._placement = placement
-        self._full = full
+        self._saturated = saturated
         self._budget = budget
         self._executor = executor
         self._links = links
@@ -132,9 +132,9 @@
         while True:
             max_wait = self._find_max_wait(call)
             entries = self._state.list_targets(call.service)
-            full = self._full.list_full(
+            saturated = self._saturated.list_saturated(
                 (entry.target_id for entry in entries),
-                slots.rank_request(call.is_further, call.priority),
+                _find_rank(call),
                 max_wait,
             )
             entry = self._placement.choose(
@@ -143,10 +143,10 @@
                 tried,
                 call.route.name,
                 len(call.request.body),
-                full,
+                saturated,
             )
             if entry is None:
-                raise self._conclude(call, attempts, failure, full)
+                raise self._conclude(call, attempts, failure, saturated)
             tried.add(entry.target_id)
             try:
                 return await self._attempt(call, entry, max_wait)
@@ -165,7 +165,7 @@
                 left_ms=round((call.deadline - self._time.now()).value),
             )
             if not self._may_repeat(call, attempts, failure):
-                raise self._conclude(call, attempts, failure, full)
+                raise self._conclude(call, attempts, failure, saturated)
 
     def _may_repeat(
         self,
@@ -216,10 +216,10 @@
     ) -> None:
         if error.kind in _AWAY:
             self._placement.pause(entry.target_id)
-        elif error.kind in _FULL:
-            self._full.note_refusal(
+        elif error.kind in _SATURATED:
+            self._saturated.note_refusal(
                 entry.target_id,
-                slots.rank_request(call.is_further, call.priority),
+                _find_rank(call),
                 max_wait,
                 error.retry_after,
             )
@@ -372,15 +372,15 @@
         call: RoutedCall,
         attempts: repeats.Attempts,
         failure: executors.AttemptError | None,
-        full: frozenset[str],
+        saturated: frozenset[str],
     ) -> exceptions.RefusedError:
         """Return the failure that the caller gets."""
-        if failure is None and full:
+        if failure is None and saturated:
             return exceptions.RefusedError(
                 _Kind.OVERLOADED,
                 f"targets of {call.service} refused a moment ago: "
-                + ", ".join(sorted(full)),
-                self._full.find_room(full),
+                + ", ".join(sorted(saturated)),
+                self._saturated.find_wait(saturated, _find_rank(call)),
             )
         if failure is None:
             return exceptions.RefusedError(
@@ -392,6 +392,10 @@
         return exceptions.RefusedError(kind, failure.detail)
 
 
+def _find_rank(call: RoutedCall) -> tuple[int, int]:
+    return slots.rank_request(call.is_further, call.priority)
+
+
 async def _receive(
     link: peers.Link,
     max_wait: clock.Milliseconds,
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -18,8 +18,8 @@
 from cyclamenwell.generated import sidecar
 from cyclamenwell.platform import settings as settings_reader
 from cyclamenwell.retries import arrivals
-from cyclamenwell.routing import fullness
 from cyclamenwell.routing import placement as placements
+from cyclamenwell.routing import saturation
 from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import dispatcher as dispatchers
 from cyclamenwell.sidecar import executor as executors
@@ -86,6 +86,7 @@
         self._placement = placements.Placement(
             time, settings.host, settings.data_centre, generator
         )
+        self._saturated = saturation.SaturatedTargets(time, generator)
         bounds = settings.bounds
         self._budget = arrivals.ArrivalBudget(
             time, bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
@@ -103,7 +104,7 @@
             dispatcher=dispatchers.Dispatcher(
                 context,
                 self._placement,
-                fullness.FullTargets(time, generator),
+                self._saturated,
                 self._budget,
                 executor,
                 links,
@@ -212,6 +213,7 @@
         self._front.follow_state()
         self._node.executor.follow_state()
         self._placement.forget_missing(self._state.entries)
+        self._saturated.forget_missing(self._state.entries)
         nodes = len(self._state.hosts)
         self._budget.set_fleet_size(nodes)
         self._node.shares.set_fleet_size(nodes)
