Keep the wire's names of the soak's configuration in the adapter

Change: the builders of the adapter build the table of services and the states of a leaving target; the soak passes values.

Conclusion: no behaviour changes.

--- a/cyclamenwell/platform/tests/builders.py
+++ b/cyclamenwell/platform/tests/builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Iterable
 import json
 from typing import Any
 
@@ -66,6 +67,29 @@
     }
 
 
+# What a target says of itself when it begins to leave and when it is back.
+LEAVING: dict[str, Any] = {"state": "draining", "seq": 2}
+BACK: dict[str, Any] = {"state": "ready", "seq": 3}
+
+
+def build_services(
+    service_names: Iterable[str], cold_per_second: float
+) -> dict[str, Any]:
+    """Return the table of services with the same properties."""
+    return build_table(
+        *(
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_connections": 820,
+                "cold_start_s": 1.0,
+                "cold_per_s": cold_per_second,
+            }
+            for name in service_names
+        )
+    )
+
+
 def build_configuration_value(
     version: str = "0000000c", **changes: Any
 ) -> dict[str, Any]:
--- a/cyclamenwell/soak/sidecars.py
+++ b/cyclamenwell/soak/sidecars.py
@@ -120,19 +120,10 @@
     def publish(self) -> None:
         """Publish the next version of the configuration."""
         self.version += 1
-        service = {
-            "health_path": "/health",
-            "max_connections": 820,
-            "cold_start_s": 1.0,
-            "cold_per_s": checks.COLD_PER_SECOND,
-        }
         self.fleet.publish(
             f"{self.version:08x}",
-            services=platform_builders.build_table(
-                *(
-                    service | {"name": name}
-                    for name in sorted(set(self.plan.services))
-                )
+            services=platform_builders.build_services(
+                sorted(set(self.plan.services)), checks.COLD_PER_SECOND
             ),
         )
 
@@ -347,9 +338,9 @@
         return
     run.leaving.add(fault.node)
     machine = run.fleet.machines[fault.node]
-    run.fleet.publish_target(machine, state="draining", seq=2)
+    run.fleet.publish_target(machine, **platform_builders.LEAVING)
     await run.hold("leave", fault.node, fault.duration)
-    run.fleet.publish_target(machine, state="ready", seq=3)
+    run.fleet.publish_target(machine, **platform_builders.BACK)
     run.leaving.discard(fault.node)
 
 
