State the reason for the part of lower ranks as it was measured

Cause: the comment gave a rate and a need of slots that no run had measured.

Words of the queue are the usual ones.

Conclusion: no behaviour changes.

--- a/cyclamenwell/admission/slots.py
+++ b/cyclamenwell/admission/slots.py
@@ -22,9 +22,9 @@
 _USED_SLOTS = 0.95
 _MAX_WAITING = 600
 # While more important requests fill all slots for seconds, one admission in so
-# many goes to the oldest request that ranks lower. Without it, on a played day
-# further calls left none of 40 requests a second to the same targets, which
-# needed one slot in fifty.
+# many goes to the oldest request that ranks lower. Without it, further calls
+# left no slot for seconds to other requests that were fewer than two in a
+# hundred of all at the same targets.
 _ADMISSIONS_PER_LOWER = 16
 # Weight of the newest service time in the moving average.
 _SERVICE_TIME_WEIGHT = 0.05
@@ -267,7 +267,7 @@
         return min(times)
 
     def _find_next(self) -> int:
-        """Return the place in the queue of the request to admit."""
+        """Return the index in the queue of the request to admit."""
         first_lower = self._find_first_lower()
         if first_lower == len(self._waiting):
             self._turns = 0
@@ -278,11 +278,11 @@
         self._turns = 0
         return min(
             range(first_lower, len(self._waiting)),
-            key=lambda place: self._waiting[place].number,
+            key=lambda index: self._waiting[index].number,
         )
 
     def _find_first_lower(self) -> int:
-        """Return the place of the first request that ranks below the first."""
+        """Return the index of the first request that ranks below the first."""
         rank = self._waiting[0].rank
         return bisect.bisect_right(self._waiting, rank, key=_get_rank)
 
