Keep one set of the refusals by saturated targets

Cause: reading the change again showed the same set of error kinds in retries/repeats and in the dispatcher.

Change: repeats.SATURATED is used by both. Conclusion: no behaviour changes.

--- a/cyclamenwell/retries/repeats.py
+++ b/cyclamenwell/retries/repeats.py
@@ -13,7 +13,7 @@
 
 from cyclamenwell.generated import enumerations
 
-__all__ = ["Attempts", "Repeat", "decide_repeat"]
+__all__ = ["SATURATED", "Attempts", "Repeat", "decide_repeat"]
 
 _Kind = enumerations.ErrorKind
 # Offers that a request makes before it is refused; each takes a round trip.
@@ -22,7 +22,8 @@
 # full the service mostly is, and asking all of them would multiply the load of
 # its nodes when they can bear it least.
 _MAX_FULL_OFFERS = 2
-_FULL = frozenset({_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_SHED})
+# Refusals by a saturated target.
+SATURATED = frozenset({_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_SHED})
 _HOPELESS = frozenset({_Kind.BAD_REQUEST, _Kind.ANSWER_TOO_LARGE})
 
 
@@ -66,7 +67,7 @@
             self.offers + 1,
             self.arrivals + (1 if reached_target else 0),
             self.may_have_run or not not_run,
-            self.full + (1 if failure in _FULL else 0),
+            self.full + (1 if failure in SATURATED else 0),
         )
 
 
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -31,8 +31,6 @@
         _Kind.WRONG_INSTANCE,
     }
 )
-# Refusals by a saturated target, which is not asked again for a moment.
-_SATURATED = frozenset({_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_SHED})
 # For a round trip between data centres and a busy moment of the other node.
 _REPLY_SLACK = clock.Milliseconds(300)
 # A body up to this size goes along with the offer of an idempotent request.
@@ -216,7 +214,7 @@
     ) -> None:
         if error.kind in _AWAY:
             self._placement.pause(entry.target_id)
-        elif error.kind in _SATURATED:
+        elif error.kind in repeats.SATURATED:
             self._saturated.note_refusal(
                 entry.target_id,
                 _find_rank(call),
