Merge twins found by reading the whole change again

The history of sidecar soak runs had a field that no check reads.

Change: _AnswerMessageParser, keep_end_to_end, _FleetLimits and one _exchange serve both places each; the unread field is gone.

--- a/cyclamenwell/limits/fleet_share.py
+++ b/cyclamenwell/limits/fleet_share.py
@@ -183,8 +183,8 @@
     expiry: clock.Milliseconds
 
 
-class Reserve:
-    """The parts of limits that their divider gives out as tokens.
+class _FleetLimits:
+    """Limits of organisations, of which a node holds a part.
 
     Parameters
     ----------
@@ -197,13 +197,20 @@
     def __init__(self, time: clock.Clock, bounds: LimitBounds) -> None:
         self._time = time
         self._bounds = bounds
-        self._buckets: dict[str, TokenBucket] = {}
         self._nodes = 1
 
     def set_fleet_size(self, nodes: int) -> None:
         """Set the number of nodes."""
         self._nodes = max(nodes, 1)
 
+
+class Reserve(_FleetLimits):
+    """The parts of limits that their divider gives out as tokens."""
+
+    def __init__(self, time: clock.Clock, bounds: LimitBounds) -> None:
+        super().__init__(time, bounds)
+        self._buckets: dict[str, TokenBucket] = {}
+
     def take(
         self, organisation: deployment.Organisation, wanted: float
     ) -> tuple[float, clock.Milliseconds]:
@@ -241,28 +248,14 @@
     demand: float = 0.0
 
 
-class OrganisationLimits:
-    """Tokens of the organisations at one node.
-
-    Parameters
-    ----------
-    time : clock.Clock
-        Clock of the buckets.
-    bounds : LimitBounds
-        What the fleet may pass.
-    """
+class OrganisationLimits(_FleetLimits):
+    """Tokens of the organisations at one node."""
 
     def __init__(self, time: clock.Clock, bounds: LimitBounds) -> None:
-        self._time = time
-        self._bounds = bounds
+        super().__init__(time, bounds)
         self._accounts: dict[str, _Account] = {}
-        self._nodes = 1
         self._measured = time.now()
 
-    def set_fleet_size(self, nodes: int) -> None:
-        """Set the number of nodes."""
-        self._nodes = max(nodes, 1)
-
     def take(self, organisation: deployment.Organisation) -> bool:
         """Count a request and take a token for it, if there is one."""
         if organisation.rate_per_second <= 0:
--- a/cyclamenwell/node/headers.py
+++ b/cyclamenwell/node/headers.py
@@ -67,27 +67,19 @@
     The key, hop-by-hop headers and all headers of the project are removed, so
     that a caller can not forge what a node tells a target.
     """
-    kept = tuple(headers)
-    named = _find_named(kept)
-    return tuple(
-        header
-        for header in kept
-        if header.name not in _HOP_BY_HOP
-        and header.name not in _SECRET
-        and header.name not in named
-        and not header.name.startswith(_PREFIX)
-    )
+    kept = keep_end_to_end(headers)
+    return tuple(header for header in kept if header.name not in _SECRET)
 
 
 def keep_end_to_end(
     headers: Iterable[httpfields.Header],
 ) -> tuple[httpfields.Header, ...]:
-    """Return the headers of a target's answer that belong to the caller.
+    """Return the headers that belong to the caller and the target.
 
     Notes
     -----
     Headers of the project are removed, so that only a node can state the
-    outcome of a request.
+    outcome of a request and what it established of it.
     """
     kept = tuple(headers)
     named = _find_named(kept)
--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -303,12 +303,36 @@
         self._expects_continue = False
 
 
-class AnswerParser(_MessageParser):
+class _AnswerMessageParser(_MessageParser):
+    """What both parsers of answers have in common."""
+
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        super().__init__(_Kind.ANSWER_TOO_LARGE, max_body_bytes)
+        self._parser = httptools.HttpResponseParser(self)
+        self._status = 0
+        self._interim = 0
+
+    def _end_answer_head(self) -> None:
+        """Check the head of an answer and count interim answers."""
+        self._end_head()
+        self._status = self._parser.get_status_code()
+        if self._status == _SWITCHING or self._status > _MAX_STATUS:
+            raise exceptions.ProtocolError(f"status {self._status}")
+        if not self._is_interim():
+            return
+        self._interim += 1
+        if self._interim > _MAX_INTERIM_ANSWERS:
+            raise exceptions.ProtocolError("too many interim answers")
+
+    def _is_interim(self) -> bool:
+        return self._status < _FIRST_FINAL
+
+
+class AnswerParser(_AnswerMessageParser):
     """Parses the answers of one connection, each to the request just sent."""
 
     def __init__(self) -> None:
-        super().__init__(_Kind.ANSWER_TOO_LARGE)
-        self._parser = httptools.HttpResponseParser(self)
+        super().__init__()
         self._is_head = False
         self.begin("GET")
 
@@ -364,12 +388,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the head."""
-        self._end_head()
-        self._status = self._parser.get_status_code()
-        if self._status == _SWITCHING or self._status > _MAX_STATUS:
-            raise exceptions.ProtocolError(f"status {self._status}")
-        if self._status < _FIRST_FINAL:
-            self._count_interim()
+        self._end_answer_head()
+        if self._is_interim():
             return
         self._keeps = self._parser.should_keep_alive()
         if self._is_head:
@@ -382,16 +402,11 @@
     def on_message_complete(self) -> None:
         """Note the end of an answer that is not interim."""
         self._check_sizes()
-        if self._status >= _FIRST_FINAL:
+        if not self._is_interim():
             self._is_whole = True
 
-    def _count_interim(self) -> None:
-        self._interim += 1
-        if self._interim > _MAX_INTERIM_ANSWERS:
-            raise exceptions.ProtocolError("too many interim answers")
-
 
-class AnswerSequenceParser(_MessageParser):
+class AnswerSequenceParser(_AnswerMessageParser):
     """Parses all answers of one connection, also those nobody waits for.
 
     Parameters
@@ -407,11 +422,8 @@
     """
 
     def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
-        super().__init__(_Kind.ANSWER_TOO_LARGE, max_body_bytes)
-        self._parser = httptools.HttpResponseParser(self)
+        super().__init__(max_body_bytes)
         self._whole: collections.deque[ReceivedAnswer] = collections.deque()
-        self._status = 0
-        self._interim = 0
         self._is_open = False
 
     def feed(self, data: bytes) -> None:
@@ -460,14 +472,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the head."""
-        self._end_head()
-        self._status = self._parser.get_status_code()
-        if self._status == _SWITCHING or self._status > _MAX_STATUS:
-            raise exceptions.ProtocolError(f"status {self._status}")
-        if self._is_interim():
-            self._interim += 1
-            if self._interim > _MAX_INTERIM_ANSWERS:
-                raise exceptions.ProtocolError("too many interim answers")
+        self._end_answer_head()
 
     def on_message_complete(self) -> None:
         """Keep a whole answer that is not interim."""
@@ -477,9 +482,6 @@
             return
         self._keep_answer(self._parser.should_keep_alive())
 
-    def _is_interim(self) -> bool:
-        return self._status < _FIRST_FINAL
-
     def _keep_answer(self, keeps: bool) -> None:
         answer = calls.HttpAnswer(
             self._status, tuple(self._headers), b"".join(self._body)
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -324,12 +324,7 @@
         """Send a caller's request to the node of a machine."""
         data = self._encode(method, path, request_id, body, **fields)
         stream = await streams.open_stream(machine.host, CALLER_PORT, _WAIT)
-        connection = http_client.HttpConnection(stream)
-        try:
-            connection.send(data)
-            return await connection.receive(_WAIT)
-        finally:
-            connection.close()
+        return await _exchange(stream, data)
 
     async def ask_after_connecting(
         self,
@@ -425,12 +420,7 @@
             stream = await streams.open_stream(machine.host, port, _WAIT)
         except OSError:
             return None
-        connection = http_client.HttpConnection(stream)
-        try:
-            connection.send(data)
-            return await connection.receive(_WAIT)
-        finally:
-            connection.close()
+        return await _exchange(stream, data)
 
     async def _add_machine(self, index: int, service: str) -> None:
         host = f"{self._network}.{index}"
@@ -457,6 +447,16 @@
         self.publish_target(machine)
 
 
+async def _exchange(stream: streams.Stream, data: bytes) -> calls.HttpAnswer:
+    """Send a request on a new connection and return its answer."""
+    connection = http_client.HttpConnection(stream)
+    try:
+        connection.send(data)
+        return await connection.receive(_WAIT)
+    finally:
+        connection.close()
+
+
 async def wait_for(condition, what: str) -> None:
     """Wait until an asynchronous condition holds.
 
--- a/cyclamenwell/soak/sidecar_history.py
+++ b/cyclamenwell/soak/sidecar_history.py
@@ -29,8 +29,6 @@
         Times.
     status : int
         Status of the answer; 0 if there was none.
-    is_refusal : bool
-        Whether the answer is the node's own.
     body : bytes
         Body of the answer.
     is_unread : bool
@@ -45,7 +43,6 @@
     sent: clock.Milliseconds
     ended: clock.Milliseconds = _ZERO
     status: int = 0
-    is_refusal: bool = False
     body: bytes = b""
     is_unread: bool = False
 
--- a/cyclamenwell/soak/sidecars.py
+++ b/cyclamenwell/soak/sidecars.py
@@ -24,7 +24,6 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.node import encoding
-from cyclamenwell.platform import dialect
 from cyclamenwell.platform import names
 from cyclamenwell.platform.tests import builders as platform_builders
 from cyclamenwell.platform.tests import target_standin
@@ -198,7 +197,6 @@
             seen,
             sent,
             status=answer.status,
-            is_refusal=not dialect.read_target_answer(answer).is_sealed,
             body=answer.body,
         )
         if connection.is_reusable:
