Decode entries of a configuration one by one, with downloads

Change: downloads are decoded and may run again; a route of an unknown kind runs at most once, a route without a readable destination refuses its requests, other unreadable rows are left out. Each is logged as configuration.rejected and counted. Requests still need keys if no organisation is readable.

--- a/cyclamenwell/platform/decoder.py
+++ b/cyclamenwell/platform/decoder.py
@@ -4,11 +4,15 @@
 
 import base64
 import binascii
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import json
 from typing import Any
+from typing import TypeVar
 
+from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
@@ -20,11 +24,19 @@
     "idempotent": enumerations.RequestKind.IDEMPOTENT,
     "non_idempotent": enumerations.RequestKind.NON_IDEMPOTENT,
     "upload": enumerations.RequestKind.UPLOAD,
+    "download": enumerations.RequestKind.DOWNLOAD,
 }
 _INSTANCE_STATES = {
     "ready": enumerations.InstanceState.SERVING,
     "draining": enumerations.InstanceState.LEAVING,
 }
+# Requests of a route that cannot be decoded are refused at once, so the value
+# only has to be valid.
+_UNREADABLE_ROUTE_TIMEOUT = clock.Milliseconds(1000)
+_DECODING_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+# Length to which an entry is cut in the description of its rejection.
+_MAX_ENTRY_CHARACTERS = 60
+_Decoded = TypeVar("_Decoded")
 
 
 def decode_item(raw: Mapping[str, Any]) -> deployment.PublishedItem:
@@ -127,18 +139,31 @@
 
 
 def _decode_configuration(raw: Mapping[str, Any]) -> deployment.Configuration:
+    """Decode a configuration.
+
+    An entry that cannot be decoded costs only itself: an older configuration
+    that stays in force instead would break every other change.
+    """
+    rejected: list[str] = []
     try:
         value = _load_value(raw)
+        organisations = list(_read_rows(value, "tenants"))
         return deployment.Configuration(
             version=int(value["version"], 16),
-            routes=tuple(map(_decode_route, _read_rows(value, "routes"))),
-            services=tuple(map(_decode_service, _read_rows(value, "services"))),
-            organisations=tuple(
-                map(_decode_organisation, _read_rows(value, "tenants"))
+            routes=_decode_rows(
+                _read_rows(value, "routes"), _decode_route, rejected
+            ),
+            services=_decode_rows(
+                _read_rows(value, "services"), _decode_service, rejected
             ),
-            limits=_decode_limits(value.get("limits") or {}),
+            organisations=_decode_rows(
+                organisations, _decode_organisation, rejected
+            ),
+            limits=_decode_limits(value.get("limits") or {}, rejected),
+            needs_keys=bool(organisations),
+            rejected_entries=tuple(rejected),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (*_DECODING_ERRORS, RecursionError) as error:
         raise exceptions.PlatformError(
             f"cannot decode the configuration: {error!r}"
         ) from error
@@ -158,19 +183,85 @@
         }
 
 
-def _decode_route(row: Mapping[str, Any]) -> deployment.Route:
+def _decode_rows(
+    rows: Iterable[Mapping[str, Any]],
+    decode_row: Callable[[Mapping[str, Any], list[str]], _Decoded],
+    rejected: list[str],
+) -> tuple[_Decoded, ...]:
+    """Decode the rows of a table; leave out and note those that fail.
+
+    Parameters
+    ----------
+    rows : iterable of mapping
+        Rows of the table.
+    decode_row : callable
+        Decodes one row; notes what it decodes only in part.
+    rejected : list of str
+        Receives a description of each rejected entry.
+    """
+    decoded = []
+    for row in rows:
+        try:
+            decoded.append(decode_row(row, rejected))
+        except _DECODING_ERRORS as error:
+            rejected.append(_describe_rejection(row, error))
+    return tuple(decoded)
+
+
+def _describe_rejection(row: Mapping[str, Any], reason: object) -> str:
+    name = str(row.get("name"))[:_MAX_ENTRY_CHARACTERS]
+    return f"{name}: {str(reason)[:_MAX_ENTRY_CHARACTERS]}"
+
+
+def _decode_route(
+    row: Mapping[str, Any], rejected: list[str]
+) -> deployment.Route:
+    """Decode a route.
+
+    A route without a readable destination is kept without services, so that
+    its requests are refused instead of taking a route with a shorter prefix.
+    """
+    try:
+        return _decode_complete_route(row, rejected)
+    except _DECODING_ERRORS as error:
+        refusing = deployment.Route(
+            name=str(row.get("name", "")),
+            host=row["host"].lower(),
+            prefix=_check_text(row["prefix"]),
+            timeout_ms=_UNREADABLE_ROUTE_TIMEOUT.value,
+            objective_ms=_UNREADABLE_ROUTE_TIMEOUT.value,
+        )
+        rejected.append(_describe_rejection(row, f"no destination: {error!r}"))
+        return refusing
+
+
+def _check_text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"got {value!r}, must be text")
+    return value
+
+
+def _decode_complete_route(
+    row: Mapping[str, Any], rejected: list[str]
+) -> deployment.Route:
     parts = row.get("traffic_split") or [{"service": row["service"]}]
+    kind = row.get("kind")
+    if not isinstance(kind, str) or kind not in _REQUEST_KINDS:
+        # Such a request may run once at most, which is safe for any kind.
+        rejected.append(_describe_rejection(row, f"unknown kind {kind!r}"))
     return deployment.Route(
-        name=row["name"],
+        name=_check_text(row["name"]),
         host=row["host"].lower(),
-        prefix=row["prefix"],
-        kind=_REQUEST_KINDS[row["kind"]],
+        prefix=_check_text(row["prefix"]),
+        kind=_REQUEST_KINDS.get(
+            str(kind), enumerations.RequestKind.NON_IDEMPOTENT
+        ),
         timeout_ms=float(row["timeout_ms"]),
         objective_ms=float(row.get("target_latency_ms") or row["timeout_ms"]),
         priority=int(row.get("priority", 0)),
         services=tuple(
             deployment.WeightedService(
-                part["service"], float(part.get("weight", 1))
+                _check_text(part["service"]), float(part.get("weight", 1))
             )
             for part in parts
         ),
@@ -179,27 +270,46 @@
     )
 
 
-def _decode_service(row: Mapping[str, Any]) -> deployment.ServiceInfo:
+def _decode_service(
+    row: Mapping[str, Any], rejected: list[str]
+) -> deployment.ServiceInfo:
+    del rejected
     return deployment.ServiceInfo(
-        name=row["name"],
-        health_path=row.get("health_path", ""),
+        name=_check_text(row["name"]),
+        health_path=_check_text(row.get("health_path", "")),
         max_connections=int(row.get("max_connections", 0)),
         cold_start_ms=float(row.get("cold_start_s", 0)) * 1000.0,
         cold_rate_per_second=float(row.get("cold_per_s", 0)),
     )
 
 
-def _decode_organisation(row: Mapping[str, Any]) -> deployment.Organisation:
+def _decode_organisation(
+    row: Mapping[str, Any], rejected: list[str]
+) -> deployment.Organisation:
+    del rejected
+    priority = row.get("priority")
     return deployment.Organisation(
-        name=row["name"],
-        keys=tuple(row.get("api_keys", ())),
-        priority=row.get("priority"),
+        name=_check_text(row["name"]),
+        keys=tuple(map(_check_text, row.get("api_keys", ()))),
+        priority=None if priority is None else int(priority),
         rate_per_second=float(row.get("rate_per_s", 0)),
         burst=float(row.get("burst", 0)),
     )
 
 
-def _decode_limits(raw: Mapping[str, Any]) -> deployment.ClientLimits:
+def _decode_limits(
+    raw: Mapping[str, Any], rejected: list[str]
+) -> deployment.ClientLimits:
+    try:
+        return _decode_complete_limits(raw)
+    except _DECODING_ERRORS as error:
+        rejected.append(f"limits: {error!r}"[:_MAX_ENTRY_CHARACTERS])
+        return deployment.ClientLimits()
+
+
+def _decode_complete_limits(
+    raw: Mapping[str, Any],
+) -> deployment.ClientLimits:
     default = deployment.ClientLimits()
     return deployment.ClientLimits(
         max_header_bytes=int(
--- a/cyclamenwell/platform/tests/builders.py
+++ b/cyclamenwell/platform/tests/builders.py
@@ -93,11 +93,9 @@
     )
 
 
-def build_configuration_value(
-    version: str = "0000000c", **changes: Any
-) -> dict[str, Any]:
-    """Build a configuration with a plain, a split and a public route."""
-    route = {
+def build_route_row(**changes: Any) -> dict[str, Any]:
+    """Build the row of a plain route."""
+    row = {
         "name": "read",
         "host": "Meters.Example",
         "prefix": "/read/",
@@ -109,6 +107,14 @@
         "public": False,
         "service": "meter",
     }
+    return row | changes
+
+
+def build_configuration_value(
+    version: str = "0000000c", **changes: Any
+) -> dict[str, Any]:
+    """Build a configuration with a plain, a split and a public route."""
+    route = build_route_row()
     split = {
         "name": "pay",
         "host": "meters.example",
--- a/cyclamenwell/platform/tests/test_decoder.py
+++ b/cyclamenwell/platform/tests/test_decoder.py
@@ -6,6 +6,7 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.platform import decoder
 from cyclamenwell.platform.tests import builders
+from cyclamenwell.routing import host_routes
 
 
 def test_configuration_is_decoded():
@@ -117,3 +118,93 @@
     """Guards against a partly decoded configuration that comes into force."""
     with pytest.raises(exceptions.PlatformError):
         decoder.decode_item(builders.build_item("op/config", value))
+
+
+def decode_configuration(**changes):
+    """Decode a configuration in which tables are replaced."""
+    value = builders.build_configuration_value(**changes)
+    return decoder.decode_item(
+        builders.build_item("op/config", value)
+    ).configuration
+
+
+def test_download_may_run_again():
+    """Guards against downloads that are unknown and therefore not served."""
+    configuration = decode_configuration(
+        routes=builders.build_table(builders.build_route_row(kind="download"))
+    )
+    assert configuration.routes[0].kind is enumerations.RequestKind.DOWNLOAD
+    assert not configuration.rejected_entries
+
+
+@pytest.mark.parametrize("kind", ["later-kind", None, 3, ["idempotent"]])
+def test_unknown_kind_runs_at_most_once(kind):
+    """Guards against one unknown kind that costs the whole configuration."""
+    configuration = decode_configuration(
+        routes=builders.build_table(
+            builders.build_route_row(kind=kind),
+            builders.build_route_row(name="other", prefix="/other/"),
+        )
+    )
+    unknown, known = configuration.routes
+    assert unknown.kind is enumerations.RequestKind.NON_IDEMPOTENT
+    assert unknown.services[0].service == "meter"
+    assert known.kind is enumerations.RequestKind.IDEMPOTENT
+    assert len(configuration.rejected_entries) == 1
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": None},
+        {"service": 7},
+        {"service": None, "traffic_split": [{"weight": 1}]},
+        {"timeout_ms": "soon"},
+        {"max_attempts": {}},
+        {"name": 5},
+    ],
+)
+def test_unreadable_route_refuses_its_requests(changes):
+    """Guards against requests that take the route with a shorter prefix."""
+    configuration = decode_configuration(
+        routes=builders.build_table(
+            builders.build_route_row(prefix="/read/deep/", **changes),
+            builders.build_route_row(),
+        )
+    )
+    deep, read = configuration.routes
+    assert (deep.prefix, deep.services) == ("/read/deep/", ())
+    assert [part.service for part in read.services] == ["meter"]
+    assert len(configuration.rejected_entries) == 1
+
+
+def test_unreadable_rows_cost_only_themselves():
+    """Guards against an older configuration that stays in force."""
+    configuration = decode_configuration(
+        routes=builders.build_table(
+            builders.build_route_row(host=4), builders.build_route_row()
+        ),
+        services=builders.build_table(
+            {"name": "meter", "cold_per_s": 5.0},
+            {"name": "desk", "cold_per_s": "some"},
+        ),
+        tenants=builders.build_table(
+            {"name": "shops", "api_keys": ["k1"]},
+            {"name": "council", "api_keys": 5},
+        ),
+        limits={"max_body_bytes": "all"},
+    )
+    assert [route.name for route in configuration.routes] == ["read"]
+    assert [service.name for service in configuration.services] == ["meter"]
+    assert [o.name for o in configuration.organisations] == ["shops"]
+    assert configuration.limits.max_body_bytes > 0
+    assert len(configuration.rejected_entries) == 4
+
+
+def test_keys_are_needed_although_no_organisation_is_readable():
+    """Guards against requests served without a key."""
+    configuration = decode_configuration(
+        tenants=builders.build_table({"name": "shops", "api_keys": 5})
+    )
+    assert not configuration.organisations
+    assert host_routes.HostTable(configuration).needs_keys
--- a/cyclamenwell/retries/retry_decisions.py
+++ b/cyclamenwell/retries/retry_decisions.py
@@ -13,7 +13,13 @@
 
 from cyclamenwell.generated import enumerations
 
-__all__ = ["SATURATED", "Attempts", "RetryDecision", "decide_retry"]
+__all__ = [
+    "REPEATABLE_KINDS",
+    "SATURATED",
+    "Attempts",
+    "RetryDecision",
+    "decide_retry",
+]
 
 _Kind = enumerations.ErrorKind
 # Limits the offers of a request, each of which takes a round trip.
@@ -24,6 +30,13 @@
 _MAX_SATURATED_OFFERS = 2
 # Kinds of refusals by a saturated target.
 SATURATED = frozenset({_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_SHED})
+# Kinds of requests that may run more than once.
+REPEATABLE_KINDS = frozenset(
+    {
+        enumerations.RequestKind.IDEMPOTENT,
+        enumerations.RequestKind.DOWNLOAD,
+    }
+)
 # Kinds of failures that recur at any target.
 _PERMANENT_FAILURES = frozenset({_Kind.BAD_REQUEST, _Kind.ANSWER_TOO_LARGE})
 
@@ -108,8 +121,7 @@
         return RetryDecision.NONE
     if attempts.saturated >= _MAX_SATURATED_OFFERS:
         return RetryDecision.NONE
-    is_idempotent = kind is enumerations.RequestKind.IDEMPOTENT
-    if attempts.may_have_run and not is_idempotent:
+    if attempts.may_have_run and kind not in REPEATABLE_KINDS:
         return RetryDecision.NONE
     if not attempts.arrivals:
         return RetryDecision.FREE
--- a/cyclamenwell/routing/host_routes.py
+++ b/cyclamenwell/routing/host_routes.py
@@ -46,7 +46,8 @@
     @property
     def needs_keys(self) -> bool:
         """Whether requests on routes that are not public need a key."""
-        return bool(self.configuration.organisations)
+        configuration = self.configuration
+        return configuration.needs_keys or bool(configuration.organisations)
 
 
 class SplitRotation:
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -243,7 +243,7 @@
         max_wait: clock.Milliseconds,
     ) -> deployment.Result:
         is_inline = (
-            call.route.kind is enumerations.RequestKind.IDEMPOTENT
+            call.route.kind in retry_decisions.REPEATABLE_KINDS
             and len(call.request.body) <= _MAX_INLINE_BYTES
         )
         offer = self._build_offer(
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -13,6 +13,7 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.node import encoding
 from cyclamenwell.platform import http_adapter
+from cyclamenwell.retries import retry_decisions
 from cyclamenwell.sidecar import admission_queue as admission_queues
 from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import http_client
@@ -318,7 +319,7 @@
                 reached_target=True,
                 not_run=False,
             )
-        is_repeatable = offer.kind is enumerations.RequestKind.IDEMPOTENT
+        is_repeatable = offer.kind in retry_decisions.REPEATABLE_KINDS
         if status in _NOT_RUN_STATUSES and not is_repeatable:
             raise AttemptError(
                 _Kind.INCOMPLETE_ANSWER,
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -94,7 +94,11 @@
                 version=configuration.version,
                 routes=len(configuration.routes),
                 organisations=len(configuration.organisations),
+                rejected=len(configuration.rejected_entries),
             )
+            for entry in configuration.rejected_entries:
+                self._node.log.record("configuration.rejected", entry=entry)
+                self._node.metrics.count("rejected_entries")
 
     def close_idle(self) -> None:
         """Close connections without a current or imminent request."""
--- a/cyclamenwell/sidecar/metrics.py
+++ b/cyclamenwell/sidecar/metrics.py
@@ -21,6 +21,10 @@
 _COUNTERS = {
     "exchanges": ("Comparisons of state with other nodes.", ("outcome",)),
     "offers": ("Requests for the target beside the node.", ("outcome",)),
+    "rejected_entries": (
+        "Entries of configurations that are not decoded or only in part.",
+        (),
+    ),
     "requests": ("Requests of callers.", ("route", "outcome")),
     "share_requests": (
         "Messages about limits of organisations.",
