Believe a refusal without identity only on a new connection

A refusal without Request-Id on a kept connection was believed, so an earlier refusal written once more made the node report 'not run' for a request that the target was running, and let it run at a second target. An answer above the size limit left the executor as a plain refusal and was reported as not run. Change: such a refusal is believed as the first answer of a connection only; reserve() converts errors of the queue, not of the run; eight foreign answers end the wait; the deadline holds while bytes arrive. The fake target echoes the identity in refusals, as the platform's targets do.

--- a/cyclamenwell/platform/tests/fake_target.py
+++ b/cyclamenwell/platform/tests/fake_target.py
@@ -145,10 +145,15 @@
         request_id = request.find_header(names.REQUEST_ID)
         intended = request.find_header(names.TARGET_INSTANCE)
         if fault == "misdirected" or intended != self.target_id:
-            _send(stream, 421, [(names.INSTANCE_ID, "i-other")], b"")
+            fields = [
+                (names.INSTANCE_ID, "i-other"),
+                (names.REQUEST_ID, request_id),
+            ]
+            _send(stream, 421, fields, b"")
             return True
         if fault == "shed":
-            _send(stream, 503, [(names.NOT_EXECUTED, "1")], b"")
+            fields = [(names.NOT_EXECUTED, "1"), (names.REQUEST_ID, request_id)]
+            _send(stream, 503, fields, b"")
             return True
         await self._run(request)
         body = b"whole answer of " + request_id.encode()
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -43,6 +43,9 @@
 # for a non-idempotent request that the target may have run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _FIRST_ERROR_STATUS = 400
+# Answers to other requests that are skipped while waiting for the right one. A
+# late answer or two is common; a target that sends more than this is faulty.
+_MAX_FOREIGN_ANSWERS = 8
 
 
 class AttemptError(exceptions.RefusedError):
@@ -171,25 +174,22 @@
             If the target cannot accept the request; it has not run.
         """
         self._check_eligibility(offer)
-        try:
-            async with self.admission_queue.acquire(
-                offer.is_nested,
-                offer.priority,
-                clock.Milliseconds(offer.max_wait_ms),
-            ) as slot:
-                # The target may have started to leave during the wait.
-                self._check_eligibility(offer)
-                yield slot
-        except AttemptError:
-            raise
-        except exceptions.RefusedError as refusal:
-            raise AttemptError(
-                refusal.kind,
-                refusal.detail,
-                reached_target=False,
-                not_run=True,
-                retry_after=refusal.retry_after,
-            ) from refusal
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                slot = await stack.enter_async_context(
+                    self.admission_queue.acquire(
+                        offer.is_nested,
+                        offer.priority,
+                        clock.Milliseconds(offer.max_wait_ms),
+                    )
+                )
+            except exceptions.RefusedError as refusal:
+                raise _build_refusal(
+                    refusal.kind, refusal.detail, refusal.retry_after
+                ) from refusal
+            # The target may have started to leave during the wait.
+            self._check_eligibility(offer)
+            yield slot
 
     async def run(
         self,
@@ -220,7 +220,7 @@
             received = await self._receive_matching(
                 connection, offer.request_id, deadline
             )
-        except (OSError, exceptions.ProtocolError) as error:
+        except (OSError, exceptions.CyclamenwellError) as error:
             connection.close()
             raise self._build_failure(error, deadline) from error
         except BaseException:
@@ -276,13 +276,18 @@
         request_id: str,
         deadline: clock.Milliseconds,
     ) -> http_adapter.TargetAnswer:
-        """Return the answer to a request; skip answers to other requests."""
-        while True:
+        """Return the answer to a request; skip answers to other requests.
+
+        A refusal without identity is believed only as the first answer on its
+        connection; later it may be an earlier refusal that is sent again.
+        """
+        for _ in range(_MAX_FOREIGN_ANSWERS):
+            is_first = not connection.is_used
             answer = await connection.receive(deadline - self._time.now())
             received = http_adapter.parse_target_answer(answer)
             if received.request_id == request_id:
                 return received
-            if not received.request_id and received.not_run:
+            if not received.request_id and received.not_run and is_first:
                 return received
             self._log.record(
                 "target.foreign_answer",
@@ -292,6 +297,9 @@
             )
             if not received.request_id:
                 raise exceptions.ProtocolError("an answer without identity")
+        raise exceptions.ProtocolError(
+            f"{_MAX_FOREIGN_ANSWERS} answers to other requests"
+        )
 
     def _validate_answer(
         self, offer: deployment.Offer, received: http_adapter.TargetAnswer
@@ -332,7 +340,9 @@
         self, error: Exception, deadline: clock.Milliseconds
     ) -> AttemptError:
         kind = _Kind.INCOMPLETE_ANSWER
-        if isinstance(error, TimeoutError) and deadline <= self._time.now():
+        if isinstance(error, exceptions.RefusedError):
+            kind = error.kind
+        elif isinstance(error, TimeoutError) and deadline <= self._time.now():
             kind = _Kind.TIMED_OUT
         elif self._time.now() - self._last_health_report > _MIN_HEALTH_AGE:
             self._assume_cold(f"connection to the target failed: {error!r}")
@@ -465,5 +475,16 @@
         self.admission_queue.wake()
 
 
-def _build_refusal(kind: enumerations.ErrorKind, detail: str) -> AttemptError:
-    return AttemptError(kind, detail, reached_target=False, not_run=True)
+def _build_refusal(
+    kind: enumerations.ErrorKind,
+    detail: str,
+    retry_after: clock.Milliseconds = clock.ZERO,
+) -> AttemptError:
+    """Return the error of a request that no target has received."""
+    return AttemptError(
+        kind,
+        detail,
+        reached_target=False,
+        not_run=True,
+        retry_after=retry_after,
+    )
--- a/cyclamenwell/sidecar/http_client.py
+++ b/cyclamenwell/sidecar/http_client.py
@@ -30,6 +30,8 @@
         self.stream = stream
         self._parser = http1.AnswerSequenceParser(_MAX_ANSWER_BYTES)
         self._is_persistent = True
+        # Whether an answer has been received on the connection.
+        self.is_used = False
 
     @property
     def is_reusable(self) -> bool:
@@ -67,11 +69,16 @@
         while True:
             received = self._parser.pop_answer()
             if received is not None:
+                self.is_used = True
                 self._is_persistent = (
                     self._is_persistent and received.keep_alive
                 )
                 return received.answer
-            data = await self.stream.receive(end - _CLOCK.now())
+            remaining = end - _CLOCK.now()
+            if remaining.value <= 0:
+                # Bytes may arrive without end.
+                raise TimeoutError("no whole answer in time")
+            data = await self.stream.receive(remaining)
             if data:
                 self._feed(data)
                 continue
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Coroutine
 import contextlib
 import dataclasses
 import itertools
@@ -14,6 +15,7 @@
 import signal
 import subprocess
 import sys
+from typing import Any
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -29,6 +31,7 @@
 from cyclamenwell.platform.tests import builders as platform_builders
 from cyclamenwell.platform.tests import fake_store
 from cyclamenwell.platform.tests import fake_target
+from cyclamenwell.platform.tests import scripted_target
 from cyclamenwell.sidecar import components
 from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import dispatcher as dispatchers
@@ -133,6 +136,35 @@
         target.stop()
 
 
+@contextlib.asynccontextmanager
+async def run_scripted_executor(
+    serve: Callable[
+        [scripted_target.ScriptedConnection], Coroutine[Any, Any, None]
+    ],
+) -> AsyncIterator[executors.Executor]:
+    """Run an executor whose warm target serves connections by a script."""
+
+    async def serve_stream(stream: streams.Stream) -> None:
+        await serve(scripted_target.ScriptedConnection(stream))
+
+    async with run_executor() as (executor, target):
+        scheduler = executor.admission_queue.slot_scheduler
+
+        async def is_warm() -> bool:
+            return not scheduler.is_cold(clock.SystemClock().now())
+
+        await wait_for(is_warm, "warm")
+        target.stop()
+        executor.close_connections()
+        listener = streams.Listener(
+            LOOPBACK, target.port, serve_stream, build_log()
+        )
+        try:
+            yield executor
+        finally:
+            listener.close()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatcherStandin:
     """A dispatcher that answers by a function and records the calls.
--- /dev/null
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -0,0 +1,196 @@
+"""Tests of the executor against targets that violate the protocol."""
+
+import asyncio
+
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell.generated import enumerations
+from cyclamenwell.platform.tests import scripted_target
+from cyclamenwell.sidecar import executor as executors
+from cyclamenwell.sidecar.tests import builders
+
+Kind = enumerations.ErrorKind
+DEADLINE = clock.Milliseconds(2000)
+
+
+async def run_request(executor, request_id, **changes):
+    """Run a request and return its result."""
+    offer = builders.build_offer(request_id=request_id, **changes)
+    deadline = clock.SystemClock().now() + DEADLINE
+    async with executor.reserve(offer) as slot:
+        return await executor.run(
+            offer, builders.build_request(), deadline, slot
+        )
+
+
+def test_a_refusal_without_identity_is_not_believed_on_a_kept_connection():
+    """Guards against an earlier refusal that is written once more.
+
+    Taken for the refusal of the next request, it would let the node report
+    that a request has not run although the target runs it.
+    """
+    runs = []
+
+    async def serve(connection):
+        for request_id in ("r-1", "r-2"):
+            request = await connection.read_request()
+            if request_id == "r-2":
+                connection.stream.send(scripted_target.encode_refusal())
+            runs.append(request.find_header("request-id"))
+            await asyncio.sleep(0.05)
+            connection.answer(request_id)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            await run_request(executor, "r-1")
+            with pytest.raises(executors.AttemptError) as caught:
+                await run_request(executor, "r-2")
+            assert not caught.value.not_run
+            assert caught.value.reached_target
+            assert executor.admission_queue.slot_scheduler.running == 0
+
+    asyncio.run(run_scenario())
+    assert runs == ["r-1", "r-2"]
+
+
+def test_a_refusal_without_identity_is_believed_on_a_new_connection():
+    """Guards against unknown outcomes where no earlier refusal can exist."""
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.stream.send(scripted_target.encode_refusal())
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            with pytest.raises(executors.AttemptError) as caught:
+                await run_request(executor, "r-1")
+            assert caught.value.kind is Kind.TARGET_SHED
+            assert caught.value.not_run
+
+    asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize("is_delayed", [False, True])
+def test_an_earlier_refusal_with_its_identity_is_skipped(is_delayed):
+    """Guards against a repeated refusal that is taken for an answer."""
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.stream.send(scripted_target.encode_refusal("r-1"))
+        await connection.read_request()
+        connection.stream.send(scripted_target.encode_refusal("r-1"))
+        if is_delayed:
+            await asyncio.sleep(0.05)
+        connection.answer("r-2")
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            with pytest.raises(executors.AttemptError) as caught:
+                await run_request(executor, "r-1")
+            assert caught.value.not_run
+            result = await run_request(executor, "r-2")
+            assert result.body == b"whole"
+
+    asyncio.run(run_scenario())
+
+
+def test_bytes_after_an_answer_end_the_use_of_its_connection():
+    """Guards against a second copy of an answer on a connection used again."""
+    connections = []
+
+    async def serve(connection):
+        connections.append(connection)
+        request = await connection.read_request()
+        request_id = request.find_header("request-id")
+        connection.answer(request_id)
+        await asyncio.sleep(0.05)
+        connection.stream.send(scripted_target.encode_refusal())
+        request = await connection.read_request()
+        connection.answer(request.find_header("request-id"))
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            await run_request(executor, "r-1")
+            await asyncio.sleep(0.15)
+            result = await run_request(executor, "r-2")
+            assert result.request_id == "r-2"
+
+    asyncio.run(run_scenario())
+    assert len(connections) == 2
+
+
+def test_answers_to_other_requests_without_end_are_given_up():
+    """Guards against a target that keeps a node busy until the deadline."""
+
+    async def serve(connection):
+        await connection.read_request()
+        while connection.stream.is_open:
+            connection.answer("another")
+            await connection.stream.flush(DEADLINE)
+            await asyncio.sleep(0)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            time = clock.SystemClock()
+            started = time.now()
+            with pytest.raises(executors.AttemptError) as caught:
+                await run_request(executor, "r-1")
+            assert not caught.value.not_run
+            assert time.now() - started < DEADLINE * 0.5
+
+    asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nx-long: ",
+        b"HTTP/1.1 200 OK\r\n",
+        b"",
+    ],
+    ids=["header", "headers", "noise"],
+)
+def test_a_head_without_end_is_given_up(head):
+    """Guards against memory and time spent on bytes that are no answer."""
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.stream.send(head)
+        part = b"a: b\r\n" * 1000 if head.endswith(b"\r\n") else b"a" * 6000
+        while connection.stream.is_open:
+            connection.stream.send(part)
+            await connection.stream.flush(DEADLINE)
+            await asyncio.sleep(0)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            time = clock.SystemClock()
+            started = time.now()
+            with pytest.raises(executors.AttemptError) as caught:
+                await run_request(executor, "r-1")
+            assert not caught.value.not_run
+            assert time.now() - started < DEADLINE * 0.5
+
+    asyncio.run(run_scenario())
+
+
+def test_an_answer_above_the_size_limit_may_have_run():
+    """Guards against 'not run' for a request whose answer is too large."""
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.stream.send(
+            b"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nresponse-seal: x\r\n"
+            b"content-length: 99999999999\r\n\r\n"
+        )
+        await connection.read_request()
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            with pytest.raises(executors.AttemptError) as caught:
+                await run_request(executor, "r-1")
+            assert not caught.value.not_run
+            assert caught.value.reached_target
+
+    asyncio.run(run_scenario())
