Restart background work that fails instead of stopping the node

Cause: an unexpected error in a background task, such as an item of the store that is no object or a health answer above the size limit, stopped the process.

--- a/cyclamenwell/platform/store.py
+++ b/cyclamenwell/platform/store.py
@@ -146,6 +146,8 @@
     items = answer.get(name)
     if not isinstance(items, list):
         raise exceptions.PlatformError(f"response of the store has no {name}")
+    if not all(isinstance(item, Mapping) for item in items):
+        raise exceptions.PlatformError(f"{name} of the store are not objects")
     return tuple(decoder.decode_item(item) for item in items)
 
 
--- a/cyclamenwell/platform/tests/test_store.py
+++ b/cyclamenwell/platform/tests/test_store.py
@@ -54,6 +54,8 @@
         (200, b"[]"),
         (200, b'{"items": [], "has_more": false}'),
         (200, b'{"items": 3, "store_revision": 3}'),
+        (200, b'{"items": [5], "store_revision": 3}'),
+        (200, b'{"items": [null], "store_revision": 3}'),
         (200, b'{"items": [{"key": 3}], "store_revision": 3}'),
     ],
 )
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -446,7 +446,7 @@
             except BaseException:
                 connection.close()
                 raise
-        except (OSError, exceptions.ProtocolError) as error:
+        except (OSError, exceptions.CyclamenwellError) as error:
             self._log.record("target.probe_failed", error=repr(error))
             return False
         received = http_adapter.parse_target_answer(answer)
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
 import gc
@@ -33,6 +34,7 @@
 from cyclamenwell.sidecar import rate_limiter
 from cyclamenwell.sidecar import store_reader
 from cyclamenwell.sidecar import streams
+from cyclamenwell.sidecar import supervision
 from cyclamenwell.telemetry import structured_log
 
 __all__ = ["Process"]
@@ -140,7 +142,8 @@
         )
         self._listen_operations()
         tasks = [
-            self._start_task(work) for work in self._list_background_work()
+            asyncio.create_task(supervision.run_supervised(work, self._log))
+            for work in self._list_background_work()
         ]
         await self._must_stop.wait()
         await self._stop(listener)
@@ -148,30 +151,20 @@
             task.cancel()
         self._log.record("node.stopped")
 
-    def _list_background_work(self) -> list[Coroutine[Any, Any, None]]:
+    def _list_background_work(
+        self,
+    ) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         """Return the background work that runs until the node stops."""
         return [
-            self._log.run(),
-            self._store_reader.watch_operators(),
-            self._store_reader.watch_targets(),
-            self._node.gossip.run(),
-            self._node.executor.monitor_health(),
-            self._node.rate_limiter.run(),
-            self._watch_settings(),
+            self._log.run,
+            self._store_reader.watch_operators,
+            self._store_reader.watch_targets,
+            self._node.gossip.run,
+            self._node.executor.monitor_health,
+            self._node.rate_limiter.run,
+            self._watch_settings,
         ]
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> asyncio.Task:
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._handle_task_end)
-        return task
-
-    def _handle_task_end(self, task: asyncio.Task) -> None:
-        """Stop the node if a background task has failed."""
-        if task.cancelled() or task.exception() is None:
-            return
-        self._log.record_exception("node.work_failed", task.exception())
-        self._must_stop.set()
-
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._must_stop.set)
