Pass large answers on in parts, with bounded memory

Cause: both nodes collected every answer up to 64 MiB before they passed it on, so downloads, slow readers and bodies without end filled their memory. Change: an answer above 256 KiB goes on part by part from the target through both nodes to the caller (sidecar/receivers), each part before the next one is read. A length stays a length, an answer without one goes on in chunks. One that breaks off after it has begun ends in a reset of the caller's connection and is not sent again. Replies about another request end a link between nodes.

--- a/cyclamenwell/exceptions.py
+++ b/cyclamenwell/exceptions.py
@@ -6,12 +6,14 @@
 from cyclamenwell.generated import enumerations
 
 __all__ = [
+    "BrokenAnswerError",
     "CyclamenwellError",
     "DocumentError",
     "InputError",
     "PeerUnavailableError",
     "PlatformError",
     "ProtocolError",
+    "ReceiverGoneError",
     "RefusedError",
     "SettingsError",
 ]
@@ -47,6 +49,14 @@
     """Data from a peer that violates the protocol."""
 
 
+class BrokenAnswerError(CyclamenwellError):
+    """An answer that broke off after a part of it was passed on."""
+
+
+class ReceiverGoneError(CyclamenwellError):
+    """The receiver of an answer has disconnected or does not read it."""
+
+
 class PeerUnavailableError(CyclamenwellError):
     """A peer that cannot be reached or did not reply in time.
 
--- a/cyclamenwell/node/encoding.py
+++ b/cyclamenwell/node/encoding.py
@@ -10,7 +10,7 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.node import calls
 
-__all__ = ["encode_answer", "encode_request"]
+__all__ = ["encode_answer", "encode_answer_head", "encode_request"]
 
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -75,13 +75,40 @@
     keep_alive : bool
         Whether the connection stays open for another request.
     """
+    head = encode_answer_head(answer, method, keep_alive, len(answer.body))
+    return head + answer.body if _has_body(answer, method) else head
+
+
+def encode_answer_head(
+    answer: calls.HttpAnswer,
+    method: str,
+    keep_alive: bool,
+    body_length: int | None,
+) -> bytes:
+    """Encode the head of an answer.
+
+    Parameters
+    ----------
+    answer : calls.HttpAnswer
+        The answer; its body is ignored.
+    method : str
+        Method of the request.
+    keep_alive : bool
+        Whether the connection stays open for another request.
+    body_length : int or None
+        Length of the whole body, None for a body in chunks.
+    """
     reason = _REASONS.get(answer.status, "")
     lines = [f"HTTP/1.1 {answer.status} {reason}"]
     lines += [f"{h.name}: {h.value}" for h in answer.headers]
-    has_body = method != "HEAD" and answer.status not in _STATUSES_WITHOUT_BODY
-    if has_body:
-        lines.append(f"content-length: {len(answer.body)}")
+    if body_length is None:
+        lines.append("transfer-encoding: chunked")
+    elif _has_body(answer, method):
+        lines.append(f"content-length: {body_length}")
     if not keep_alive:
         lines.append("connection: close")
-    head = "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n"
-    return head + answer.body if has_body else head
+    return "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n"
+
+
+def _has_body(answer: calls.HttpAnswer, method: str) -> bool:
+    return method != "HEAD" and answer.status not in _STATUSES_WITHOUT_BODY
--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -22,6 +22,7 @@
     "MAX_BODY_BYTES",
     "AnswerParser",
     "AnswerSequenceParser",
+    "PartialAnswer",
     "ReceivedAnswer",
     "ReceivedRequest",
     "RequestParser",
@@ -57,10 +58,13 @@
         The request.
     keep_alive : bool
         Whether the connection stays open for another request.
+    accepts_chunks : bool
+        Whether the caller understands an answer in chunks.
     """
 
     request: calls.HttpRequest
     keep_alive: bool
+    accepts_chunks: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +83,22 @@
     keep_alive: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartialAnswer:
+    """The head of an answer and the first part of its body.
+
+    Parameters
+    ----------
+    answer : calls.HttpAnswer
+        Status, all headers, and the bytes of the body received so far.
+    body_length : int or None
+        Length of the whole body, None if it is not known in advance.
+    """
+
+    answer: calls.HttpAnswer
+    body_length: int | None
+
+
 # Nearly all headers in a deployment have the same few names.
 @functools.lru_cache(_NAME_CACHE_SIZE)
 def _decode_name(name: bytes) -> str:
@@ -300,7 +320,13 @@
             headers=tuple(self._headers),
             body=b"".join(self._body),
         )
-        self._complete.append(ReceivedRequest(request, self._keep_alive))
+        self._complete.append(
+            ReceivedRequest(
+                request,
+                self._keep_alive,
+                self._parser.get_http_version() != "1.0",
+            )
+        )
         self._reset()
         self._has_begun = False
         self._expects_continue = False
@@ -430,6 +456,11 @@
         super().__init__(max_body_bytes)
         self._complete: collections.deque[ReceivedAnswer] = collections.deque()
         self._is_in_answer = False
+        # Whether the body of the answer in progress is taken in parts.
+        self._is_in_parts = False
+        self._has_last_part = False
+        # Whether the answer taken in parts allows another request.
+        self.keep_alive = False
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -462,15 +493,49 @@
         return self._complete.popleft() if self._complete else None
 
     def has_answer(self) -> bool:
-        """Return whether a complete answer can be taken."""
-        return bool(self._complete)
+        """Return whether a complete answer, or its end, can be taken."""
+        return bool(self._complete) or self._has_last_part
+
+    def count_buffered(self) -> int:
+        """Return the number of bytes held of a body in progress."""
+        if not self._is_in_answer or self._in_head or self._is_interim():
+            return 0
+        return self._body_bytes
+
+    def begin_parts(self) -> PartialAnswer:
+        """Return the answer in progress; its body is then taken in parts."""
+        lengths = self._list_values(_CONTENT_LENGTH)
+        self._is_in_parts = True
+        self._has_last_part = False
+        return PartialAnswer(
+            calls.HttpAnswer(
+                self._status, tuple(self._headers), self.pop_part()
+            ),
+            int(lengths[0]) if lengths else None,
+        )
+
+    def pop_part(self) -> bytes:
+        """Return the bytes of the body that have not been taken yet."""
+        part = b"".join(self._body)
+        self._body.clear()
+        # The limit on the size applies to what is held.
+        self._body_bytes = 0
+        return part
+
+    def pop_end(self) -> bool:
+        """Return, once, whether all parts of the body have been received."""
+        has_ended, self._has_last_part = self._has_last_part, False
+        return has_ended
 
     def has_pending_data(self) -> bool:
         """Return whether bytes were received that belong to no taken answer."""
-        return self._is_in_answer or bool(self._complete)
+        return self._is_in_answer or self.has_answer()
 
     def on_message_begin(self) -> None:
         """Begin an answer."""
+        if self._has_last_part:
+            # The parts of the previous answer have not all been taken.
+            raise exceptions.ProtocolError("bytes after an answer in parts")
         self._reset()
         self._status = 0
         self._is_in_answer = True
@@ -488,6 +553,12 @@
         self._queue_answer(self._parser.should_keep_alive())
 
     def _queue_answer(self, keep_alive: bool) -> None:
+        if self._is_in_parts:
+            self._is_in_parts = False
+            self._has_last_part = True
+            self._is_in_answer = False
+            self.keep_alive = keep_alive
+            return
         answer = calls.HttpAnswer(
             self._status, tuple(self._headers), b"".join(self._body)
         )
--- a/cyclamenwell/platform/tests/fake_target.py
+++ b/cyclamenwell/platform/tests/fake_target.py
@@ -74,6 +74,8 @@
         self.target_id = target_id
         self.service_time = clock.Milliseconds(5)
         self.cold = clock.ZERO
+        # Body of the next answers, None for a short one with the identity.
+        self.body: bytes | None = None
         self.runs: list[Run] = []
         self.connections = 0
         self.running = 0
@@ -157,6 +159,8 @@
             return True
         await self._run(request)
         body = b"whole answer of " + request_id.encode()
+        if self.body is not None:
+            body = self.body
         fields = [(names.REQUEST_ID, request_id)]
         sealed = [*fields, (names.RESPONSE_SEAL, "seal")]
         if fault == "reset":
--- a/cyclamenwell/platform/tests/scripted_target.py
+++ b/cyclamenwell/platform/tests/scripted_target.py
@@ -8,7 +8,13 @@
 from cyclamenwell.platform import names
 from cyclamenwell.sidecar import streams
 
-__all__ = ["ScriptedConnection", "encode_answer", "encode_refusal"]
+__all__ = [
+    "ScriptedConnection",
+    "encode_answer",
+    "encode_body",
+    "encode_framed_answer",
+    "encode_refusal",
+]
 
 _TIMEOUT = clock.Milliseconds(8000)
 
@@ -41,11 +47,51 @@
             self._parser.feed(data)
         return received.request
 
+    def reset(self) -> None:
+        """Close the connection with a reset instead of an orderly end."""
+        self.stream.reset()
+
     def answer(self, request_id: str, body: bytes = b"whole") -> None:
         """Send a whole and sealed answer to a request."""
         self.stream.send(encode_answer(request_id, body))
 
 
+def encode_body(body: bytes, framing: str) -> tuple[list[str], bytes]:
+    """Return the header lines and the bytes of a body.
+
+    Parameters
+    ----------
+    body : bytes
+        The body.
+    framing : str
+        ``length``, ``chunks`` or ``end`` (of the connection).
+    """
+    if framing == "length":
+        return [f"content-length: {len(body)}"], body
+    if framing == "end":
+        return [], body
+    size = 50_000
+    chunks = [body[i : i + size] for i in range(0, len(body), size)]
+    framed = [f"{len(c):x}\r\n".encode() + c + b"\r\n" for c in chunks]
+    return ["transfer-encoding: chunked"], b"".join(framed) + b"0\r\n\r\n"
+
+
+def encode_framed_answer(
+    request_id: str, body: bytes, framing: str
+) -> tuple[bytes, bytes]:
+    """Return head and body of a sealed answer; see `encode_body`."""
+    lines, framed = encode_body(body, framing)
+    head = [
+        "HTTP/1.1 200 X",
+        f"{names.REQUEST_ID}: {request_id}",
+        f"{names.RESPONSE_SEAL}: seal",
+        *lines,
+        "",
+        "",
+    ]
+    return "\r\n".join(head).encode(), framed
+
+
 def encode_answer(request_id: str, body: bytes = b"whole") -> bytes:
     """Return a whole and sealed answer of a target."""
     fields = [(names.REQUEST_ID, request_id), (names.RESPONSE_SEAL, "seal")]
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -17,6 +17,7 @@
 from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import executor as executors
 from cyclamenwell.sidecar import peers
+from cyclamenwell.sidecar import receivers
 
 __all__ = ["Dispatcher", "RoutedCall"]
 
@@ -36,6 +37,9 @@
 # An offer of an idempotent request carries the request itself up to this body
 # size, which saves a round trip.
 _MAX_INLINE_BYTES = 4096
+# The parts of an answer that is being passed on may arrive after the deadline,
+# at most this time apart.
+_PART_TIMEOUT = clock.Milliseconds(1500)
 # The answer has to leave the node this long before the deadline.
 _ANSWER_MARGIN = clock.Milliseconds(10)
 
@@ -64,6 +68,8 @@
         Time by which the caller needs the answer.
     request : deployment.ForwardedRequest
         Request to forward to the target.
+    receiver : receivers.CallerReceiver
+        Receives a large answer in parts.
     """
 
     request_id: str
@@ -75,6 +81,7 @@
     started_at: clock.Milliseconds
     deadline: clock.Milliseconds
     request: deployment.ForwardedRequest
+    receiver: receivers.CallerReceiver
 
 
 class Dispatcher:
@@ -118,11 +125,17 @@
     async def run(self, call: RoutedCall) -> deployment.Result:
         """Return the complete answer of a target.
 
+        A partial answer has been passed on to the receiver of the call.
+
         Raises
         ------
         exceptions.RefusedError
             If no target answered. Its kind states that the request has not
             run only if no target can have run it.
+        exceptions.BrokenAnswerError
+            If the answer broke off after a part of it was passed on.
+        exceptions.ReceiverGoneError
+            If the caller does not take the answer.
         """
         self._budget.record_request(call.service)
         attempts = retry_decisions.Attempts()
@@ -196,6 +209,9 @@
         except executors.AttemptError as error:
             self._note_failure(call, entry, max_wait, error)
             raise
+        except exceptions.BrokenAnswerError:
+            self._balancer.note_failure(entry.target_id)
+            raise
         finally:
             self._balancer.end(entry.target_id)
         self._balancer.note_answer(
@@ -234,7 +250,9 @@
         offer = self._build_offer(call, entry, max_wait, request=None)
         async with self._executor.reserve(offer) as slot:
             deadline = call.deadline - _ANSWER_MARGIN
-            return await self._executor.run(offer, call.request, deadline, slot)
+            return await self._executor.run(
+                offer, call.request, deadline, slot, call.receiver
+            )
 
     async def _run_remotely(
         self,
@@ -265,6 +283,8 @@
                         )
                     )
                     reply = await self._receive_result(link, entry, call)
+                if isinstance(reply, deployment.Result) and reply.is_partial:
+                    await self._pass_on(link, reply, entry, call)
         except (OSError, exceptions.ProtocolError) as error:
             if self._find_remaining(call).value <= 0:
                 raise _build_timeout_error(entry, is_sent) from error
@@ -275,6 +295,43 @@
         # Refusals are raised outside of `borrow`, so that the link is reused.
         return self._read_reply(reply, entry)
 
+    async def _pass_on(
+        self,
+        link: peers.Link,
+        result: deployment.Result,
+        entry: deployment.TargetEntry,
+        call: RoutedCall,
+    ) -> None:
+        """Pass a large answer on to the caller, part by part."""
+        body = await receivers.begin_answer(call.receiver, result)
+        is_last = False
+        while not is_last:
+            try:
+                part = await self._receive_part(link, entry, call)
+            except (OSError, exceptions.ProtocolError) as error:
+                raise exceptions.BrokenAnswerError(
+                    f"the answer from {entry.target_id} broke off: {error!r}"
+                ) from error
+            await receivers.send_part(body, part.data)
+            is_last = part.is_last
+        await receivers.end_body(body)
+
+    async def _receive_part(
+        self,
+        link: peers.Link,
+        entry: deployment.TargetEntry,
+        call: RoutedCall,
+    ) -> deployment.BodyPart:
+        timeout = max(self._find_remaining(call), _PART_TIMEOUT)
+        while True:
+            message = await _receive(link, timeout, entry, call)
+            if isinstance(message, deployment.BodyPart):
+                return message
+            if not isinstance(message, deployment.Waiting):
+                raise exceptions.ProtocolError(
+                    f"{type(message).__name__} inside of an answer"
+                )
+
     async def _receive_result(
         self,
         link: peers.Link,
@@ -283,7 +340,9 @@
     ) -> object:
         """Return the reply to a started request."""
         while True:
-            reply = await _receive(link, self._find_remaining(call), entry)
+            reply = await _receive(
+                link, self._find_remaining(call), entry, call
+            )
             if not isinstance(reply, deployment.Waiting):
                 return reply
 
@@ -300,7 +359,7 @@
             self._find_remaining(call),
         )
         try:
-            message = await _receive(link, acknowledgement_timeout, entry)
+            message = await _receive(link, acknowledgement_timeout, entry, call)
         except OSError:
             # No reply in time: the node or the path to it is down.
             self._balancer.pause(entry.target_id)
@@ -311,7 +370,7 @@
             return await self._receive_result(link, entry, call)
         grant_timeout = clock.Milliseconds(offer.max_wait_ms) + _REPLY_MARGIN
         return await _receive(
-            link, min(grant_timeout, self._find_remaining(call)), entry
+            link, min(grant_timeout, self._find_remaining(call)), entry, call
         )
 
     def _read_reply(
@@ -402,20 +461,29 @@
     link: peers.Link,
     max_wait: clock.Milliseconds,
     entry: deployment.TargetEntry,
+    call: RoutedCall,
 ) -> object:
-    """Return the next message from the node of a target.
+    """Return the next message about a request from the node of a target.
 
     Raises
     ------
     exceptions.ProtocolError
-        If the node closed the connection.
+        If the node closed the connection or answers another request.
     """
-    message = await link.receive(max_wait)
-    if message is None:
-        raise exceptions.ProtocolError(
-            f"the node of {entry.target_id} closed the connection"
-        )
-    return message
+    while True:
+        message = await link.receive(max_wait)
+        if message is None:
+            raise exceptions.ProtocolError(
+                f"the node of {entry.target_id} closed the connection"
+            )
+        request_id = getattr(message, "request_id", None)
+        if request_id == call.request_id:
+            return message
+        # The acknowledgement of an earlier request may arrive late.
+        if not isinstance(message, deployment.Waiting):
+            raise exceptions.ProtocolError(
+                f"{type(message).__name__} about {request_id!r}"
+            )
 
 
 def _build_timeout_error(
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+from typing import Any
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -12,11 +13,13 @@
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
 from cyclamenwell.node import encoding
+from cyclamenwell.node import http1
 from cyclamenwell.platform import http_adapter
 from cyclamenwell.retries import retry_decisions
 from cyclamenwell.sidecar import admission_queue as admission_queues
 from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import http_client
+from cyclamenwell.sidecar import receivers
 
 __all__ = ["AttemptError", "Executor"]
 
@@ -43,6 +46,12 @@
 # for a non-idempotent request that the target may have run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _FIRST_ERROR_STATUS = 400
+# Size of a body up to which an answer is collected before it is passed on, so
+# that one that breaks off can be replaced by the answer of another target.
+_MAX_WHOLE_BYTES = 256 * 1024
+# The parts of an answer that is being passed on may arrive after the deadline,
+# at most this time apart.
+_PART_TIMEOUT = clock.Milliseconds(1000)
 # Answers to other requests that are skipped while waiting for the right one. A
 # late answer or two is common; a target that sends more than this is faulty.
 _MAX_FOREIGN_ANSWERS = 8
@@ -197,13 +206,37 @@
         request: deployment.ForwardedRequest,
         deadline: clock.Milliseconds,
         slot: admission_queues.Slot,
+        receiver: Any,
     ) -> deployment.Result:
-        """Send a request to the target and return its complete answer.
+        """Send a request to the target and return its answer.
+
+        Parameters
+        ----------
+        offer : deployment.Offer
+            Context of the request.
+        request : deployment.ForwardedRequest
+            The request.
+        deadline : clock.Milliseconds
+            Time by which the answer is needed.
+        slot : admission_queues.Slot
+            Slot that the request holds.
+        receiver : receivers.CallerReceiver or receivers.PeerReceiver
+            Receives a large answer in parts.
+
+        Returns
+        -------
+        deployment.Result
+            The complete answer; a partial one if the whole of it has been
+            passed on to the receiver.
 
         Raises
         ------
         AttemptError
             If there is no complete and valid answer.
+        exceptions.BrokenAnswerError
+            If the answer broke off after a part of it was passed on.
+        exceptions.ReceiverGoneError
+            If the receiver does not take the answer.
         """
         started_at = self._time.now()
         data = encoding.encode_request(
@@ -217,7 +250,7 @@
         connection = await self._connect()
         try:
             connection.send(data)
-            received = await self._receive_matching(
+            received, partial = await self._receive_matching(
                 connection, offer.request_id, deadline
             )
         except (OSError, exceptions.CyclamenwellError) as error:
@@ -228,18 +261,28 @@
             connection.close()
             raise
         service_time = self._time.now() - started_at
-        self._pool.release(connection, self._find_max_idle(received.max_idle))
-        self._validate_answer(offer, received)
-        slot.service_time = service_time
-        self._metrics.observe("target", service_time)
-        return deployment.Result(
+        result = deployment.Result(
             request_id=offer.request_id,
             status=received.answer.status,
             headers=received.answer.headers,
             body=received.answer.body,
             load=self.load,
             service_ms=service_time.value,
+            is_partial=partial is not None,
+            body_length=partial.body_length if partial else None,
         )
+        try:
+            if partial is not None:
+                self._validate_answer(offer, received)
+                await self._pass_on(connection, result, receiver, deadline)
+        except BaseException:
+            connection.close()
+            raise
+        self._pool.release(connection, self._find_max_idle(received.max_idle))
+        self._validate_answer(offer, received)
+        slot.service_time = service_time
+        self._metrics.observe("target", service_time)
+        return result
 
     def close_connections(self) -> None:
         """Close the idle connections to the target."""
@@ -270,25 +313,58 @@
                 not_run=True,
             ) from error
 
+    async def _pass_on(
+        self,
+        connection: http_client.HttpConnection,
+        result: deployment.Result,
+        receiver: Any,
+        deadline: clock.Milliseconds,
+    ) -> None:
+        """Pass a large answer on to its receiver, part by part."""
+        body = await receivers.begin_answer(receiver, result)
+        try:
+            while True:
+                remaining = deadline - self._time.now()
+                part = await connection.receive_part(
+                    max(remaining, _PART_TIMEOUT)
+                )
+                if not part:
+                    break
+                await receivers.send_part(body, part)
+        except exceptions.ReceiverGoneError:
+            raise
+        except (OSError, exceptions.CyclamenwellError) as error:
+            raise exceptions.BrokenAnswerError(
+                f"the answer of the target broke off: {error!r}"
+            ) from error
+        await receivers.end_body(body)
+
     async def _receive_matching(
         self,
         connection: http_client.HttpConnection,
         request_id: str,
         deadline: clock.Milliseconds,
-    ) -> http_adapter.TargetAnswer:
+    ) -> tuple[http_adapter.TargetAnswer, http1.PartialAnswer | None]:
         """Return the answer to a request; skip answers to other requests.
 
+        Of a large answer, only the beginning is returned.
+
         A refusal without identity is believed only as the first answer on its
         connection; later it may be an earlier refusal that is sent again.
         """
         for _ in range(_MAX_FOREIGN_ANSWERS):
             is_first = not connection.is_used
-            answer = await connection.receive(deadline - self._time.now())
+            answer = await connection.receive_begun(
+                deadline - self._time.now(), _MAX_WHOLE_BYTES
+            )
+            partial = None
+            if isinstance(answer, http1.PartialAnswer):
+                partial, answer = answer, answer.answer
             received = http_adapter.parse_target_answer(answer)
             if received.request_id == request_id:
-                return received
+                return received, partial
             if not received.request_id and received.not_run and is_first:
-                return received
+                return received, partial
             self._log.record(
                 "target.foreign_answer",
                 request=request_id,
@@ -297,6 +373,10 @@
             )
             if not received.request_id:
                 raise exceptions.ProtocolError("an answer without identity")
+            if partial is not None:
+                raise exceptions.ProtocolError(
+                    "a large answer to another request"
+                )
         raise exceptions.ProtocolError(
             f"{_MAX_FOREIGN_ANSWERS} answers to other requests"
         )
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -16,6 +16,7 @@
 from cyclamenwell.routing import host_routes
 from cyclamenwell.sidecar import components
 from cyclamenwell.sidecar import dispatcher as dispatchers
+from cyclamenwell.sidecar import receivers
 from cyclamenwell.sidecar import streams
 
 __all__ = ["Frontend"]
@@ -145,8 +146,16 @@
         if received is None:
             return False
         self._streams[stream] = True
+        receiver = receivers.CallerReceiver(
+            stream,
+            received.request.method,
+            received.keep_alive and not self.is_leaving,
+            received.accepts_chunks,
+        )
         with stream.cancel_on_disconnect():
-            answer = await self._answer(received.request)
+            answer = await self._answer(received.request, receiver)
+        if answer is None:
+            return receiver.keep_alive
         keep_alive = received.keep_alive and not self.is_leaving
         await self._write(stream, answer, received.request.method, keep_alive)
         return keep_alive
@@ -188,8 +197,24 @@
         stream.send(encoding.encode_answer(answer, method, keep_alive))
         await stream.flush(_WRITE_TIMEOUT)
 
-    async def _answer(self, request: calls.HttpRequest) -> calls.HttpAnswer:
-        """Return the answer to a request and log its outcome."""
+    async def _answer(
+        self,
+        request: calls.HttpRequest,
+        receiver: receivers.CallerReceiver,
+    ) -> calls.HttpAnswer | None:
+        """Return the answer to a request and log its outcome.
+
+        Returns
+        -------
+        calls.HttpAnswer or None
+            The answer, None if the receiver has got it in parts.
+
+        Raises
+        ------
+        ConnectionResetError
+            If the receiver has got a part of the answer and will not get the
+            rest; the connection has to be closed.
+        """
         node = self._node
         started_at = node.time.now()
         outcome, request_id, route, detail = _Kind.INTERNAL.name, "", "", ""
@@ -198,10 +223,12 @@
         try:
             received = http_adapter.parse_request(request)
             request_id = received.request_id
-            call = await self._route(received, started_at)
+            call = await self._route(received, started_at, receiver)
             route = call.route.name
             result = await self._run(call, received)
             outcome, status = "answered", result.status
+            if result.is_partial:
+                return None
             return calls.HttpAnswer(result.status, result.headers, result.body)
         except exceptions.RefusedError as refusal:
             outcome, detail = refusal.kind.name, refusal.detail
@@ -209,6 +236,13 @@
             answer = http_adapter.build_refusal(refusal, request_id)
             status = answer.status
             return answer
+        except (
+            exceptions.BrokenAnswerError,
+            exceptions.ReceiverGoneError,
+        ) as error:
+            outcome, detail = "broken", str(error)
+            receiver.stream.reset()
+            raise ConnectionResetError(detail) from error
         except asyncio.CancelledError:
             outcome = "cancelled"
             raise
@@ -243,6 +277,7 @@
         self,
         received: http_adapter.CallerRequest,
         started_at: clock.Milliseconds,
+        receiver: receivers.CallerReceiver,
     ) -> dispatchers.RoutedCall:
         """Determine route, organisation, service and deadline.
 
@@ -283,6 +318,7 @@
             started_at=started_at,
             deadline=started_at + timeout,
             request=received.forwarded,
+            receiver=receiver,
         )
 
     async def _authenticate(
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -13,6 +13,7 @@
 from cyclamenwell.sidecar import components
 from cyclamenwell.sidecar import executor as executors
 from cyclamenwell.sidecar import peers
+from cyclamenwell.sidecar import receivers
 from cyclamenwell.sidecar import streams
 
 __all__ = ["serve_peer"]
@@ -69,6 +70,17 @@
     )
     try:
         reply = await _run_offer(message, node, link)
+    except (
+        exceptions.BrokenAnswerError,
+        exceptions.ReceiverGoneError,
+    ) as error:
+        # The end of the connection tells the sender that the answer is
+        # incomplete.
+        node.metrics.count("offers", "BROKEN")
+        node.log.record(
+            "offer.broken", request=message.request_id, error=repr(error)
+        )
+        raise ConnectionResetError(str(error)) from error
     except executors.AttemptError as error:
         outcome = error.kind.name
         reply = deployment.Refusal(
@@ -104,21 +116,28 @@
         running=node.executor.admission_queue.slot_scheduler.running,
         queued=node.executor.admission_queue.slot_scheduler.queued,
     )
-    await link.send(reply)
+    if not getattr(reply, "is_partial", False):
+        await link.send(reply)
 
 
 async def _run_offer(
     offer: deployment.Offer, node: components.Components, link: peers.Link
 ) -> deployment.Result:
+    """Run an offered request; a large answer is passed on to the link."""
+    receiver = receivers.PeerReceiver(link, offer.request_id)
     deadline = node.time.now() + clock.Milliseconds(offer.remaining_ms)
     if offer.request is not None:
         async with node.executor.reserve(offer) as slot:
-            return await node.executor.run(offer, offer.request, deadline, slot)
+            return await node.executor.run(
+                offer, offer.request, deadline, slot, receiver
+            )
     async with node.executor.reserve(offer) as slot:
         await link.send(deployment.Grant(offer.request_id))
         start = await _receive_start(offer, link)
         deadline = node.time.now() + clock.Milliseconds(start.remaining_ms)
-        return await node.executor.run(offer, start.request, deadline, slot)
+        return await node.executor.run(
+            offer, start.request, deadline, slot, receiver
+        )
 
 
 async def _receive_start(
--- a/cyclamenwell/sidecar/http_client.py
+++ b/cyclamenwell/sidecar/http_client.py
@@ -56,6 +56,31 @@
     async def receive(self, timeout: clock.Milliseconds) -> calls.HttpAnswer:
         """Return the next complete answer.
 
+        Raises
+        ------
+        TimeoutError
+            If it is not complete in time.
+        OSError
+            If the connection failed.
+        exceptions.ProtocolError
+            If the answer is malformed or truncated.
+        """
+        return await self.receive_begun(timeout, _MAX_ANSWER_BYTES)
+
+    async def receive_begun(
+        self, timeout: clock.Milliseconds, max_bytes: int
+    ) -> calls.HttpAnswer | http1.PartialAnswer:
+        """Return the next answer, or its beginning if it is large.
+
+        The rest of a large answer is read by `receive_part`.
+
+        Parameters
+        ----------
+        timeout : clock.Milliseconds
+            Time until the answer is complete or has begun.
+        max_bytes : int
+            Size of a body above which only the beginning is returned.
+
         Raises
         ------
         TimeoutError
@@ -81,6 +106,11 @@
             data = await self.stream.receive(remaining)
             if data:
                 self._feed(data)
+                if self._parser.has_answer():
+                    continue
+                if self._parser.count_buffered() > max_bytes:
+                    self.is_used = True
+                    return self._parser.begin_parts()
                 continue
             self._is_persistent = False
             self._parser.finish()
@@ -91,6 +121,32 @@
                 )
             return received.answer
 
+    async def receive_part(self, timeout: clock.Milliseconds) -> bytes:
+        """Return the next part of a begun answer, empty at its end.
+
+        Raises
+        ------
+        TimeoutError
+            If nothing was received in time.
+        OSError
+            If the connection failed.
+        exceptions.ProtocolError
+            If the answer is malformed or truncated.
+        """
+        while not (part := self._parser.pop_part()):
+            if self._parser.pop_end():
+                self._is_persistent = (
+                    self._is_persistent and self._parser.keep_alive
+                )
+                return b""
+            data = await self.stream.receive(timeout)
+            if data:
+                self._feed(data)
+                continue
+            self._is_persistent = False
+            self._parser.finish()
+        return part
+
     def _feed(self, data: bytes) -> None:
         """Parse bytes; malformed data after a complete answer is ignored.
 
--- a/cyclamenwell/sidecar/streams.py
+++ b/cyclamenwell/sidecar/streams.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import socket
+import struct
 from typing import Any
 
 from cyclamenwell import clock
@@ -24,6 +25,8 @@
 _KEEPALIVE_PROBES = 2
 _UNACKNOWLEDGED_TIMEOUT_MS = 3000
 _BACKLOG = 1024
+# Linger is on, for zero seconds: closing discards unsent bytes and resets.
+_LINGER_WITH_RESET = struct.pack("ii", 1, 0)
 _RECEIVE_BYTES = 256 * 1024
 # A closed connection with unsent bytes is aborted after this time.
 _CLOSE_TIMEOUT = clock.Milliseconds(10_000)
@@ -182,6 +185,18 @@
         _resolve(self._reader)
         _resolve(self._writer)
 
+    def reset(self) -> None:
+        """Close immediately with a reset.
+
+        The other side then cannot take what it has received for a complete
+        answer that ends with its connection.
+        """
+        if self._socket.fileno() >= 0:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_WITH_RESET
+            )
+        self.abort()
+
     def _begin_reading(self) -> None:
         self._is_reading = True
         self._loop.add_reader(self._descriptor, self._read)
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -39,6 +39,7 @@
 from cyclamenwell.sidecar import frontend as frontends
 from cyclamenwell.sidecar import http_client
 from cyclamenwell.sidecar import metrics
+from cyclamenwell.sidecar import receivers
 from cyclamenwell.sidecar import streams
 from cyclamenwell.telemetry import structured_log
 
@@ -165,6 +166,40 @@
             listener.close()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordingReceiver:
+    """A receiver that records the parts of an answer.
+
+    Parameters
+    ----------
+    parts : list of bytes
+        Received parts, the first of which comes with the head.
+    ends : list of bool
+        Holds one element once the answer is complete.
+    """
+
+    parts: list[bytes] = dataclasses.field(default_factory=list)
+    ends: list[bool] = dataclasses.field(default_factory=list)
+
+
+@receivers.begin_answer.register
+async def _(
+    receiver: RecordingReceiver, result: deployment.Result
+) -> RecordingReceiver:
+    receiver.parts.append(result.body)
+    return receiver
+
+
+@receivers.send_part.register
+async def _(body: RecordingReceiver, data: bytes) -> None:
+    body.parts.append(data)
+
+
+@receivers.end_body.register
+async def _(body: RecordingReceiver) -> None:
+    body.ends.append(True)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatcherStandin:
     """A dispatcher that answers by a function and records the calls.
@@ -355,7 +390,7 @@
         **fields: str,
     ) -> calls.HttpAnswer:
         """Send a request of a caller to the node of a machine."""
-        data = self._encode(method, path, request_id, body, **fields)
+        data = self.encode(method, path, request_id, body, **fields)
         stream = await streams.open_stream(machine.host, CALLER_PORT, _TIMEOUT)
         return await _exchange(stream, data)
 
@@ -395,7 +430,7 @@
         connection = http_client.HttpConnection(stream)
         try:
             await asyncio.sleep(send_after)
-            connection.send(self._encode("GET", "/read/1", f"r-{delay}", b""))
+            connection.send(self.encode("GET", "/read/1", f"r-{delay}", b""))
             return (await connection.receive(_TIMEOUT)).status
         except (OSError, exceptions.ProtocolError):
             return 0
@@ -422,7 +457,7 @@
         answer = await self._get(machine, METRICS_PORT, "/metrics")
         return answer.body.decode()
 
-    def _encode(
+    def encode(
         self,
         method: str,
         path: str,
--- a/cyclamenwell/sidecar/tests/test_executor.py
+++ b/cyclamenwell/sidecar/tests/test_executor.py
@@ -21,7 +21,7 @@
     deadline = clock.SystemClock().now() + clock.Milliseconds(2000)
     async with executor.reserve(offer) as slot:
         return await executor.run(
-            offer, builders.build_request(), deadline, slot
+            offer, builders.build_request(), deadline, slot, None
         )
 
 
@@ -238,7 +238,9 @@
             deadline = clock.SystemClock().now() + clock.Milliseconds(3000)
             for _ in range(2):
                 async with executor.reserve(offer) as slot:
-                    result = await executor.run(offer, large, deadline, slot)
+                    result = await executor.run(
+                        offer, large, deadline, slot, None
+                    )
                 assert result.body == b"ok"
             listener.close()
 
@@ -258,7 +260,7 @@
             with pytest.raises(executors.AttemptError) as caught:
                 async with executor.reserve(offer) as slot:
                     await executor.run(
-                        offer, builders.build_request(), deadline, slot
+                        offer, builders.build_request(), deadline, slot, None
                     )
             assert caught.value.kind is Kind.TIMED_OUT
             assert not caught.value.not_run
--- a/cyclamenwell/sidecar/tests/test_hostile_targets.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -20,7 +20,7 @@
     deadline = clock.SystemClock().now() + DEADLINE
     async with executor.reserve(offer) as slot:
         return await executor.run(
-            offer, builders.build_request(), deadline, slot
+            offer, builders.build_request(), deadline, slot, None
         )
 
 
--- /dev/null
+++ b/cyclamenwell/sidecar/tests/test_large_answers.py
@@ -0,0 +1,185 @@
+"""Tests of answers that are passed on in parts."""
+
+import asyncio
+import pathlib
+
+import pytest
+
+from cyclamenwell import clock
+from cyclamenwell import exceptions
+from cyclamenwell.platform.tests import fake_target
+from cyclamenwell.platform.tests import scripted_target
+from cyclamenwell.sidecar import http_client
+from cyclamenwell.sidecar import receivers
+from cyclamenwell.sidecar import streams
+from cyclamenwell.sidecar.tests import builders
+
+DEADLINE = clock.Milliseconds(3000)
+LARGE = bytes(range(256)) * 16_384  # 4 MiB
+# More than what each of two nodes and the sockets between them can hold.
+SLOW_READERS = 50
+# The smallest memory limit of the users' machines is 200 MB.
+MAX_PEAK_BYTES = 200_000_000
+
+
+async def run_request(executor, receiver):
+    """Run a request and return its result."""
+    offer = builders.build_offer()
+    deadline = clock.SystemClock().now() + DEADLINE
+    async with executor.reserve(offer) as slot:
+        return await executor.run(
+            offer, builders.build_request(), deadline, slot, receiver
+        )
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "end"])
+def test_a_large_answer_is_passed_on_in_parts(framing):
+    """Guards against collecting a large answer, or changing its bytes."""
+
+    async def serve(connection):
+        request = await connection.read_request()
+        head, body = scripted_target.encode_framed_answer(
+            request.find_header("request-id"), LARGE, framing
+        )
+        connection.stream.send(head + body)
+        if framing != "end":
+            await connection.read_request()
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            receiver = builders.RecordingReceiver()
+            result = await run_request(executor, receiver)
+            assert result.is_partial
+            known = len(LARGE) if framing == "length" else None
+            assert result.body_length == known
+            assert b"".join(receiver.parts) == LARGE
+            assert receiver.ends == [True]
+            assert max(map(len, receiver.parts)) < len(LARGE) / 4
+
+    asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize(
+    ("framing", "is_reset"),
+    [("length", False), ("chunks", False), ("end", True), ("length", True)],
+)
+def test_an_answer_cut_midway_is_never_complete(framing, is_reset):
+    """Guards against a broken answer that looks whole to its receiver."""
+
+    async def serve(connection):
+        request = await connection.read_request()
+        head, body = scripted_target.encode_framed_answer(
+            request.find_header("request-id"), LARGE, framing
+        )
+        connection.stream.send(head + body[: len(body) // 2])
+        await asyncio.sleep(0.1)
+        if is_reset:
+            connection.reset()
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            receiver = builders.RecordingReceiver()
+            with pytest.raises(exceptions.BrokenAnswerError):
+                await run_request(executor, receiver)
+            assert receiver.parts
+            assert not receiver.ends
+            assert executor.admission_queue.slot_scheduler.running == 0
+
+    asyncio.run(run_scenario())
+
+
+def test_a_body_without_end_is_passed_on_with_bounded_memory():
+    """Guards against an endless body that fills the node's memory."""
+    sent = []
+
+    async def serve(connection):
+        request = await connection.read_request()
+        head, _ = scripted_target.encode_framed_answer(
+            request.find_header("request-id"), b"", "end"
+        )
+        connection.stream.send(head)
+        while connection.stream.is_open:
+            connection.stream.send(b"x" * 100_000)
+            sent.append(100_000)
+            await connection.stream.flush(DEADLINE)
+            await asyncio.sleep(0)
+
+    class StalledReceiver(builders.RecordingReceiver):
+        """A receiver that takes the head and no further part."""
+
+    @receivers.send_part.register
+    async def _(body: StalledReceiver, data: bytes) -> None:
+        body.parts.append(data)
+        await asyncio.sleep(0.5)
+        raise exceptions.ReceiverGoneError("the receiver does not read")
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            with pytest.raises(exceptions.ReceiverGoneError):
+                await run_request(executor, StalledReceiver())
+
+    asyncio.run(run_scenario())
+    # Two buffers of the node, two of the target, and those of the sockets.
+    assert sum(sent) < 16_000_000
+
+
+def test_large_answers_reach_slow_callers_whole(tmp_path):
+    """Guards against memory that grows with the size of the answers."""
+
+    async def read_slowly(fleet, machine, number):
+        data = fleet.encode("GET", "/read/1", f"r-{number}", b"")
+        stream = await streams.open_stream(
+            machine.host, builders.CALLER_PORT, DEADLINE
+        )
+        connection = http_client.HttpConnection(stream)
+        connection.send(data)
+        await asyncio.sleep(1.0)
+        answer = await connection.receive(DEADLINE)
+        connection.close()
+        assert answer.status == 200
+        assert answer.body == LARGE
+
+    def find_peak(machine):
+        status = pathlib.Path(f"/proc/{machine.process.pid}/status")
+        lines = dict(
+            line.split(":", 1) for line in status.read_text().splitlines()
+        )
+        return int(lines["VmHWM"].split()[0]) * 1024
+
+    async def run_scenario():
+        fleet = builders.Fleet(tmp_path, ("desk", "meter", "meter", "meter"))
+        fleet.publish()
+        async with fleet.run():
+            desk = fleet.machines[0]
+            for machine in fleet.machines:
+                machine.target.body = LARGE
+                await fleet.wait_ready(machine)
+            await asyncio.gather(
+                *(read_slowly(fleet, desk, n) for n in range(SLOW_READERS))
+            )
+            for machine in fleet.machines:
+                assert find_peak(machine) < MAX_PEAK_BYTES
+
+    asyncio.run(run_scenario())
+
+
+def test_an_answer_cut_midway_breaks_the_connection_of_its_caller(tmp_path):
+    """Guards against a broken answer that looks whole behind two nodes."""
+
+    async def run_scenario():
+        fleet = builders.Fleet(tmp_path, ("desk", "meter"))
+        fleet.publish()
+        async with fleet.run():
+            desk, meter = fleet.machines
+            await fleet.wait_ready(desk)
+            await fleet.wait_ready(meter)
+            meter.target.body = LARGE
+            answer = await fleet.send_request(desk, request_id="r-0")
+            assert answer.body == LARGE
+            meter.target.inject_faults(fake_target.Fault("cut"))
+            with pytest.raises((OSError, exceptions.ProtocolError)):
+                await fleet.send_request(desk, request_id="r-1")
+            answer = await fleet.send_request(desk, request_id="r-2")
+            assert answer.body == LARGE
+
+    asyncio.run(run_scenario())
