Let a few nodes of each data centre read the platform's store

Change: readers are chosen by rendezvous hashing over the published targets (configuration/store_duty); the others learn changes by exchanges, which carry the age of the sender's knowledge. A node that loses contact, or whose knowledge is too old, reads for itself. Changes of targets are told a few times a second, and at once to nodes beside targets that leave.

--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -179,14 +179,21 @@
         """Register a function to call with the changed items."""
         self._listeners.append(listener)
 
-    def note_outage_end(self) -> None:
+    def note_outage_end(self, age: clock.Milliseconds = clock.ZERO) -> None:
         """Start the grace period after an outage of the store.
 
         Entries expire while the store is unavailable. Until living targets have
         had time to register again, a missing entry does not mean that its
         target is gone.
+
+        Parameters
+        ----------
+        age : clock.Milliseconds
+            Time since the end of the outage, as seen by another node.
         """
-        self._outage_end = self._time.now()
+        end = self._time.now() - age
+        if self._outage_end is None or end > self._outage_end:
+            self._outage_end = end
 
     def apply_operators(self, changes: deployment.PrefixChanges) -> None:
         """Merge changes to items published by operators."""
@@ -235,6 +242,21 @@
         """Sorted IP addresses of all instances that have a target."""
         return self._hosts
 
+    @property
+    def since_outage(self) -> clock.Milliseconds | None:
+        """Time since the end of an outage, None after the grace period."""
+        if not self._is_in_grace():
+            return None
+        return self._time.now() - self._outage_end
+
+    @property
+    def hosts_by_data_centre(self) -> dict[str, set[str]]:
+        """IP addresses of the instances in each data centre."""
+        hosts: dict[str, set[str]] = {}
+        for entry in self.entries.values():
+            hosts.setdefault(entry.data_centre, set()).add(entry.host)
+        return hosts
+
     def _is_in_grace(self) -> bool:
         if self._outage_end is None:
             return False
--- a/cyclamenwell/sidecar/context.py
+++ b/cyclamenwell/sidecar/context.py
@@ -7,6 +7,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell.configuration import published
+from cyclamenwell.configuration import store_duty
 from cyclamenwell.generated import sidecar
 from cyclamenwell.sidecar import metrics as metrics_module
 from cyclamenwell.telemetry import structured_log
@@ -32,6 +33,8 @@
         Receives decisions and changes of the node's state.
     metrics : metrics_module.Metrics
         Counters and histograms of outcomes.
+    duty : store_duty.StoreDuty
+        Whether the node reads the store, and how old its knowledge is.
     """
 
     settings: sidecar.SidecarSettings
@@ -40,3 +43,4 @@
     generator: random.Random
     log: structured_log.StructuredLog
     metrics: metrics_module.Metrics
+    duty: store_duty.StoreDuty
--- a/cyclamenwell/sidecar/gossip.py
+++ b/cyclamenwell/sidecar/gossip.py
@@ -7,6 +7,7 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.generated import deployment
+from cyclamenwell.generated import enumerations
 from cyclamenwell.sidecar import context as contexts
 from cyclamenwell.sidecar import peers
 
@@ -19,6 +20,10 @@
 _REPLY_TIMEOUT = clock.Milliseconds(400)
 # Peers notified of a change immediately; each of them notifies as many.
 _FANOUT = 3
+# Changes of targets within this time are told in one exchange.
+_TARGET_INTERVAL = clock.Milliseconds(200)
+# Pause before another peer is asked after all exchanges of a round failed.
+_RETRY_PAUSE = clock.Milliseconds(100)
 
 
 class Gossip:
@@ -45,6 +50,9 @@
         self._known_hosts: set[str] = set()
         self._has_pending = asyncio.Event()
         self._announced_revision = 0
+        self._announced_target_revision = 0
+        self._is_target_push_due = False
+        self._duty = context.duty
 
     def record_exchange(self, message: deployment.StateExchange) -> None:
         """Record an exchange from a peer; schedule a pull if it is ahead."""
@@ -58,19 +66,61 @@
         if is_ahead:
             self._pending.add(message.host)
             self._has_pending.set()
+        else:
+            self._duty.note_contact(clock.Milliseconds(message.store_age_ms))
 
     def notify_peers(self, changes: list[deployment.PublishedItem]) -> None:
-        """Notify random peers of a change made by operators."""
-        del changes
+        """Notify random peers of changes.
+
+        Changes by operators are told at once. Changes of targets are told only
+        if some nodes do not read the store, a few times a second, and at once
+        to the nodes beside targets that leave.
+        """
         revision = self._state.operators.change_revision
-        if revision <= self._announced_revision:
+        if revision > self._announced_revision:
+            self._announced_revision = revision
+            self._push()
+        if not self._duty.has_learners:
             return
-        self._announced_revision = revision
+        self._pending.update(self._list_leaving_hosts(changes))
+        if self._pending:
+            self._has_pending.set()
+        revision = self._state.targets.change_revision
+        if revision > self._announced_target_revision:
+            self._announced_target_revision = revision
+            self._schedule_target_push()
+
+    def _push(self) -> None:
+        """Schedule exchanges with random peers."""
         hosts = self._list_peers()
         count = min(_FANOUT, len(hosts))
         self._pending.update(self._random.sample(hosts, count))
         self._has_pending.set()
 
+    def _schedule_target_push(self) -> None:
+        if self._is_target_push_due:
+            return
+        self._is_target_push_due = True
+        delay = _TARGET_INTERVAL * self._random.uniform(0.2, 1.0)
+        asyncio.get_running_loop().call_later(delay.seconds, self._push_targets)
+
+    def _push_targets(self) -> None:
+        self._is_target_push_due = False
+        self._push()
+
+    def _list_leaving_hosts(
+        self, changes: list[deployment.PublishedItem]
+    ) -> set[str]:
+        """Return the hosts of targets that have begun to leave."""
+        hosts = {
+            item.target.host
+            for item in changes
+            if item.target is not None
+            and item.target.state is enumerations.InstanceState.LEAVING
+        }
+        hosts.discard(self._settings.host)
+        return hosts
+
     async def run(self) -> None:
         """Exchange state with peers until cancelled."""
         while True:
@@ -82,12 +132,22 @@
                 async with asyncio.timeout(jittered.seconds):
                     await self._has_pending.wait()
             except TimeoutError:
-                peer_hosts = self._list_peers()
-                if peer_hosts:
-                    self._pending.add(self._random.choice(peer_hosts))
+                self._add_random_peer()
             self._has_pending.clear()
             pending, self._pending = self._pending, set()
-            await asyncio.gather(*(self._exchange(host) for host in pending))
+            results = await asyncio.gather(
+                *(self._exchange(host) for host in pending)
+            )
+            if results and not any(results):
+                # Isolation has to be noticed within two seconds.
+                await asyncio.sleep(_RETRY_PAUSE.seconds)
+                self._add_random_peer()
+
+    def _add_random_peer(self) -> None:
+        peer_hosts = self._list_peers()
+        if peer_hosts:
+            self._pending.add(self._random.choice(peer_hosts))
+            self._has_pending.set()
 
     def _list_peers(self) -> list[str]:
         """Return the hosts of the peers: published, or else seeds and known."""
@@ -98,22 +158,27 @@
         hosts.discard(self._settings.host)
         return sorted(hosts)
 
-    async def _exchange(self, host: str) -> None:
+    async def _exchange(self, host: str) -> bool:
+        """Exchange state with a peer; return whether it answered."""
         state = self._state
         message = deployment.StateExchange(
             host=self._settings.host,
             operator_revision=state.operators.change_revision,
             target_revision=state.targets.change_revision,
+            store_age_ms=self._duty.store_age.value,
         )
         try:
             reply = await self._links.call(host, message, _REPLY_TIMEOUT)
         except exceptions.PeerUnavailableError as error:
             self._metrics.count("exchanges", "failed")
             self._log.record_routine("exchange.failed", error=str(error))
-            return
+            return False
         if not isinstance(reply, deployment.StateExchangeReply):
-            return
+            return False
         self._metrics.count("exchanges", "finished")
+        if reply.since_outage_ms is not None and self._duty.has_learners:
+            # Has to precede the changes, which lack the lapsed entries.
+            state.note_outage_end(clock.Milliseconds(reply.since_outage_ms))
         if reply.operator_changes is not None:
             self._log.record(
                 "state.learned",
@@ -130,3 +195,5 @@
                 revision=reply.target_changes.revision,
             )
             state.apply_targets(reply.target_changes)
+        self._duty.note_contact(clock.Milliseconds(reply.store_age_ms))
+        return True
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -170,6 +170,7 @@
 ) -> None:
     """Send the changes that the peer lacks; schedule a pull if it is ahead."""
     state = node.state
+    since_outage = state.since_outage
     operators, targets = state.operators, state.targets
     reply = deployment.StateExchangeReply(
         host=node.settings.host,
@@ -185,6 +186,8 @@
             if targets.change_revision > message.target_revision
             else None
         ),
+        store_age_ms=node.duty.store_age.value,
+        since_outage_ms=(None if since_outage is None else since_outage.value),
     )
     node.gossip.record_exchange(message)
     await link.send(reply)
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -15,6 +15,7 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import published
+from cyclamenwell.configuration import store_duty
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import sidecar
 from cyclamenwell.platform import settings as settings_reader
@@ -75,6 +76,7 @@
         self._time = time
         self._log = log
         self._peer_connections = 0  # Accepted since the start.
+        self._fleet_hosts: tuple[str, ...] = ()  # Set in `duty`.
         self._must_stop = asyncio.Event()
         self._must_reload = asyncio.Event()
         self._state = published.PublishedState(
@@ -82,8 +84,15 @@
         )
         self._metrics = metrics_module.Metrics()
         generator = random.Random()
+        self._duty = store_duty.StoreDuty(time, settings.host)
         context = contexts.NodeContext(
-            settings, time, self._state, generator, log, self._metrics
+            settings,
+            time,
+            self._state,
+            generator,
+            log,
+            self._metrics,
+            self._duty,
         )
         self._balancer = target_balancer.TargetBalancer(
             time, settings.host, settings.data_centre, generator
@@ -102,6 +111,7 @@
             generator=generator,
             log=log,
             metrics=self._metrics,
+            duty=self._duty,
             executor=executor,
             dispatcher=dispatchers.Dispatcher(
                 context,
@@ -180,9 +190,9 @@
         metrics.add_gauge("connections", lambda: self._frontend.connections)
         metrics.add_gauge("peer_connections", lambda: self._peer_connections)
         metrics.add_gauge(
-            "store_age_seconds",
-            lambda: (self._time.now() - self._store_reader.last_answer).seconds,
+            "store_age_seconds", lambda: self._duty.store_age.seconds
         )
+        metrics.add_gauge("store_reader", lambda: float(self._duty.is_reader))
 
     def _listen_operations(self) -> None:
         ready = self._settings.ready_address
@@ -210,6 +220,9 @@
         self._node.executor.apply_state()
         self._balancer.keep_only(self._state.entries)
         self._saturated.keep_only(self._state.entries)
+        if self._state.hosts is not self._fleet_hosts:
+            self._fleet_hosts = self._state.hosts
+            self._duty.set_fleet(self._state.hosts_by_data_centre)
         nodes = len(self._state.hosts)
         self._retry_budget.set_fleet_size(nodes)
         self._node.rate_limiter.set_fleet_size(nodes)
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -56,8 +56,8 @@
         self._pool = http_client.HttpPool(
             time, address.host, address.port, _CONNECT_TIMEOUT
         )
+        self._duty = context.duty
         self._lost_since: clock.Milliseconds | None = None
-        self.last_answer = clock.ZERO
 
     async def watch_operators(self) -> None:
         """Watch the configuration and the data centres taken out."""
@@ -91,6 +91,8 @@
         backoff = _MIN_BACKOFF
         is_listed = False
         while True:
+            if is_listed:
+                await self._wait_for_duty(prefix)
             try:
                 if is_listed:
                     changes = await self._watch(prefix, replica.revision, wait)
@@ -115,6 +117,20 @@
             jitter = self._random.uniform(0.8, 1.2)
             await asyncio.sleep((find_pause() * jitter).seconds)
 
+    async def _wait_for_duty(self, prefix: str) -> None:
+        """Wait while other nodes read the store for this one."""
+        if self._duty.is_reader:
+            return
+        self._lost_since = None  # An outage no longer concerns this node.
+        self._log.record_routine("store.left_to_readers", prefix=prefix)
+        while not self._duty.is_reader:
+            await asyncio.sleep(self._duty.check_interval.seconds)
+        self._log.record(
+            "store.read_again",
+            prefix=prefix,
+            store_age_ms=round(self._duty.store_age.value),
+        )
+
     def _find_target_pause(self) -> clock.Milliseconds:
         """Return the pause that keeps all nodes within the read rate."""
         nodes = len(self._state.hosts)
@@ -176,7 +192,7 @@
         self._pool.close_idle()
 
     def _record_answer(self) -> None:
-        self.last_answer = self._time.now()
+        self._duty.note_store_answer()
         if self._lost_since is None:
             return
         outage = self._time.now() - self._lost_since
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -20,6 +20,7 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import published
+from cyclamenwell.configuration import store_duty
 from cyclamenwell.configuration.tests import published_builders
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
@@ -103,7 +104,13 @@
     )
     executor = executors.Executor(
         contexts.NodeContext(
-            settings, time, state, random.Random(1), log, metrics.Metrics()
+            settings,
+            time,
+            state,
+            random.Random(1),
+            log,
+            metrics.Metrics(),
+            store_duty.StoreDuty(time, LOOPBACK),
         )
     )
     state.apply_operators(
@@ -270,6 +277,7 @@
         generator=random.Random(1),
         log=log,
         metrics=metrics.Metrics(),
+        duty=store_duty.StoreDuty(time, LOOPBACK),
         executor=None,
         dispatcher=dispatcher,
         rate_limiter=None,
--- /dev/null
+++ b/cyclamenwell/sidecar/tests/test_large_fleet.py
@@ -0,0 +1,75 @@
+"""Tests of a fleet in which some nodes leave the store to others."""
+
+import asyncio
+
+from cyclamenwell import clock
+from cyclamenwell.platform.tests import builders as platform_builders
+from cyclamenwell.sidecar.tests import builders
+
+# Eight nodes more than read the store in one data centre.
+SERVICES = ("desk", *("meter",) * 23)
+LEARNERS = 8
+# Bounds of the users' deployments of 60 machines or more.
+APPLY_TIME = clock.Milliseconds(2500)
+DRAIN_TIME = clock.Milliseconds(2500)
+
+
+async def find_learners(fleet):
+    """Return the machines whose nodes do not read the store."""
+    texts = await asyncio.gather(*map(fleet.read_metrics, fleet.machines))
+    return [
+        machine
+        for machine, text in zip(fleet.machines, texts, strict=True)
+        if "cyclamenwell_sidecar_store_reader 0.0" in text
+    ]
+
+
+async def send(fleet, machine, path):
+    """Return the status of the answer to a request."""
+    answer = await fleet.send_request(machine, path=path)
+    return answer.status
+
+
+def test_nodes_that_do_not_read_the_store_follow_it_in_time(tmp_path):
+    """Guards against changes that reach only the nodes that read the store."""
+
+    async def has_learners(fleet):
+        return len(await find_learners(fleet)) == LEARNERS
+
+    async def scenario(fleet):
+        await builders.wait_for(lambda: has_learners(fleet), "learners")
+        learners = await find_learners(fleet)
+
+        # A new version: the route /read/ goes, and /later/ comes.
+        row = platform_builders.build_route_row(name="l", prefix="/later/")
+        fleet.publish("00000010", routes=platform_builders.build_table(row))
+        await asyncio.sleep(APPLY_TIME.seconds)
+        for machine in learners:
+            assert await send(fleet, machine, "/read/1") == 404
+            assert await send(fleet, machine, "/later/1") == 200
+
+        # A target beside a node that does not read the store leaves.
+        leaving = next(m for m in learners if m is not fleet.machines[0])
+        fleet.publish_target(leaving, **platform_builders.LEAVING_STATUS)
+        await asyncio.sleep(DRAIN_TIME.seconds)
+        runs = len(leaving.target.runs)
+        answers = [send(fleet, m, "/later/2") for m in fleet.machines * 3]
+        assert set(await asyncio.gather(*answers)) == {200}
+        assert len(leaving.target.runs) == runs
+
+        # Without changes, only the readers' watches reach the store.
+        before = fleet.store.reads
+        await asyncio.sleep(3.0)
+        calls = fleet.store.reads - before
+        assert calls <= 3 * 2 * (len(SERVICES) - LEARNERS)
+        assert await has_learners(fleet)
+
+    async def run_scenario():
+        fleet = builders.Fleet(tmp_path, SERVICES)
+        fleet.publish()
+        async with fleet.run():
+            for machine in fleet.machines:
+                await fleet.wait_ready(machine)
+            await scenario(fleet)
+
+    asyncio.run(run_scenario())
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -9,6 +9,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell.configuration import published
+from cyclamenwell.configuration import store_duty
 from cyclamenwell.generated import sidecar
 from cyclamenwell.platform.tests import builders as platform_builders
 from cyclamenwell.platform.tests import fake_store
@@ -39,7 +40,13 @@
     )
     reader = store_reader.StoreReader(
         contexts.NodeContext(
-            settings, time, state, random.Random(1), log, metrics.Metrics()
+            settings,
+            time,
+            state,
+            random.Random(1),
+            log,
+            metrics.Metrics(),
+            store_duty.StoreDuty(time, builders.LOOPBACK),
         )
     )
     task = asyncio.create_task(reader.watch_targets())
