Ask asyncio for the running loop once for each stream

Cause: each call of asyncio for the running loop or task makes a system call (getpid) in Python 3.11: 5 of 17 calls of a request at the entry node with a new connection, 4 of 10 beside the target. Change: streams hold their loop, and their users take it from there. Sidecar and platform tests: 128 passed.

--- a/cyclamenwell/sidecar/admission_queue.py
+++ b/cyclamenwell/sidecar/admission_queue.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import functools
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -44,6 +45,11 @@
         self._arrivals = 0
         self._timer: asyncio.TimerHandle | None = None
 
+    @functools.cached_property
+    def _loop(self) -> asyncio.AbstractEventLoop:
+        # Asked for once only, since that takes a system call.
+        return asyncio.get_running_loop()
+
     @contextlib.asynccontextmanager
     async def acquire(
         self,
@@ -114,7 +120,7 @@
         )
 
     async def _wait(self, ticket: slots.Ticket) -> None:
-        future = asyncio.get_running_loop().create_future()
+        future = self._loop.create_future()
         self._waiters[ticket] = future
         self._set_timer(self._time.now())
         try:
@@ -151,8 +157,7 @@
         next_event = self.slot_scheduler.find_next_event(now)
         if next_event is not None:
             delay = max((next_event - now).seconds, 0.0) + 0.001
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(delay, self.wake)
+            self._timer = self._loop.call_later(delay, self.wake)
 
     def _estimate_retry_after(self) -> clock.Milliseconds:
         waiting = self.slot_scheduler.queued + 1
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import functools
 from typing import Any
 
@@ -63,7 +62,7 @@
     """Run an offered request once it has a slot."""
     started_at = node.time.now()
     outcome = "answered"
-    acknowledgement = asyncio.get_running_loop().call_later(
+    acknowledgement = link.stream.loop.call_later(
         peers.ACKNOWLEDGEMENT_DELAY.seconds,
         link.send_soon,
         deployment.Waiting(message.request_id),
--- a/cyclamenwell/sidecar/streams.py
+++ b/cyclamenwell/sidecar/streams.py
@@ -39,6 +39,9 @@
     ----------
     connection : socket.socket
         Connected socket.
+    loop : asyncio.AbstractEventLoop
+        Running event loop. `asyncio` makes a system call each time that it is
+        asked for the running loop, so all users of a stream take it from there.
 
     Notes
     -----
@@ -47,8 +50,10 @@
     connection. Most connections of callers carry only one request.
     """
 
-    def __init__(self, connection: socket.socket) -> None:
-        self._loop = asyncio.get_running_loop()
+    def __init__(
+        self, connection: socket.socket, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self.loop = loop
         self._socket = connection
         # The event loop formats unknown objects on registration, but not plain
         # descriptors.
@@ -90,9 +95,9 @@
             If the connection failed.
         """
         if not self._received and not self._has_ended:
-            self._reader = self._loop.create_future()
+            self._reader = self.loop.create_future()
             try:
-                await _wait(self._reader, timeout)
+                await _wait(self.loop, self._reader, timeout)
             finally:
                 self._reader = None
         if self._received:
@@ -129,7 +134,7 @@
                 return
         if sent < len(data):
             if not self._unsent:
-                self._loop.add_writer(self._descriptor, self._send_more)
+                self.loop.add_writer(self._descriptor, self._send_more)
             self._unsent += memoryview(data)[sent:]
 
     async def flush(self, timeout: clock.Milliseconds) -> None:
@@ -144,9 +149,9 @@
         """
         if len(self._unsent) <= _MAX_UNSENT_BYTES:
             return
-        self._writer = self._loop.create_future()
+        self._writer = self.loop.create_future()
         try:
-            await _wait(self._writer, timeout)
+            await _wait(self.loop, self._writer, timeout)
         finally:
             self._writer = None
         if self._has_ended:
@@ -175,7 +180,7 @@
             self.abort()
         elif not self._is_closing:
             self._is_closing = True
-            self._loop.call_later(_CLOSE_TIMEOUT.seconds, self.abort)
+            self.loop.call_later(_CLOSE_TIMEOUT.seconds, self.abort)
 
     def abort(self) -> None:
         """Close immediately and discard unsent bytes."""
@@ -199,7 +204,7 @@
 
     def _begin_reading(self) -> None:
         self._is_reading = True
-        self._loop.add_reader(self._descriptor, self._read)
+        self.loop.add_reader(self._descriptor, self._read)
 
     def _read(self) -> None:
         """Buffer received bytes and wake the reading task."""
@@ -216,7 +221,7 @@
         self._received += data
         if len(self._received) > _MAX_UNREAD_BYTES:
             self._is_reading = False
-            self._loop.remove_reader(self._descriptor)
+            self.loop.remove_reader(self._descriptor)
         _resolve(self._reader)
 
     def _send_more(self) -> None:
@@ -229,7 +234,7 @@
             sent = len(self._unsent)
         del self._unsent[:sent]
         if not self._unsent:
-            self._loop.remove_writer(self._descriptor)
+            self.loop.remove_writer(self._descriptor)
             if self._is_closing or self._has_ended:
                 self.abort()
         if len(self._unsent) <= _MAX_UNSENT_BYTES:
@@ -242,7 +247,7 @@
             self._close_socket()
         elif self._is_reading:
             self._is_reading = False
-            self._loop.remove_reader(self._descriptor)
+            self.loop.remove_reader(self._descriptor)
         _resolve(self._reader)
         _resolve(self._writer)
         callback, self._close_callback = self._close_callback, None
@@ -254,10 +259,10 @@
             return
         if self._is_reading:
             self._is_reading = False
-            self._loop.remove_reader(self._descriptor)
+            self.loop.remove_reader(self._descriptor)
         if self._unsent:
             self._unsent.clear()
-            self._loop.remove_writer(self._descriptor)
+            self.loop.remove_writer(self._descriptor)
         self._socket.close()
 
 
@@ -272,19 +277,23 @@
     def __enter__(self) -> None:
         if not self._stream.is_open:
             raise ConnectionResetError("the connection has ended")
-        self._stream.set_close_callback(asyncio.current_task().cancel)
+        task = asyncio.current_task(self._stream.loop)
+        self._stream.set_close_callback(task.cancel)
 
     def __exit__(self, *failure: object) -> None:
         self._stream.set_close_callback(None)
 
 
-async def _wait(waiter: asyncio.Future, timeout: clock.Milliseconds) -> None:
+async def _wait(
+    loop: asyncio.AbstractEventLoop,
+    waiter: asyncio.Future,
+    timeout: clock.Milliseconds,
+) -> None:
     """Wait for a future with a time-out.
 
     `asyncio.timeout` does the same by cancelling the task, which takes three
     times as long, and most messages of a node pass through here.
     """
-    loop = asyncio.get_running_loop()
     timer = loop.call_later(max(timeout.seconds, 0.0), _expire, waiter)
     try:
         await waiter
@@ -336,7 +345,7 @@
     except BaseException:
         connection.close()
         raise
-    stream = Stream(connection)
+    stream = Stream(connection, loop)
     stream.enable_keepalive()
     return stream
 
@@ -395,7 +404,7 @@
             # If no descriptor is free, the connection stays in the backlog.
             self._log.record("connection.not_accepted", error=repr(error))
             return False
-        stream = Stream(connection)
+        stream = Stream(connection, self._loop)
         task = self._loop.create_task(
             _serve_one(stream, self._serve, self._log)
         )
