Count the deadline of pipelined requests from their arrival

Cause: a request behind another one on its connection got its whole time from the moment at which the first was answered, so its target worked longer than the caller waits; and a connection that the node closes with requests behind the last answer was reset, which destroys an answer that the caller has not read. Change: streams tell how long bytes have waited; a request whose time is over is answered 504 and not run; after a closing answer the node reads on for up to 500 ms.

--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -31,6 +32,8 @@
 # A caller sends its first request within this time after connecting: a round
 # trip between data centres and a short delay at the caller.
 _FIRST_REQUEST_TIMEOUT = clock.Milliseconds(500)
+# A caller reads the last answer on a connection and closes it within this time.
+_LINGER_TIMEOUT = clock.Milliseconds(500)
 _STARTUP_RETRY_AFTER = clock.Milliseconds(300)
 _DEFAULT_LIMITS = deployment.ClientLimits()
 # Refusals whose retry time is computed from the caller's remaining time.
@@ -49,6 +52,16 @@
 )
 
 
+@dataclasses.dataclass(slots=True)
+class _CallerConnection:
+    """A connection of a caller and what has been read from it."""
+
+    stream: streams.Stream
+    parser: http1.RequestParser
+    # Arrival of the bytes read last. The next request may be among them.
+    read_at: clock.Milliseconds
+
+
 class Frontend:
     """Serves callers: authenticates, routes and answers their requests.
 
@@ -113,11 +126,13 @@
 
     async def serve(self, stream: streams.Stream) -> None:
         """Serve one connection until it is closed."""
+        now = self._node.time.now()
         self._streams[stream] = False
-        self._awaiting_first_request[stream] = self._node.time.now()
+        self._awaiting_first_request[stream] = now
         parser = http1.RequestParser(self._limits.max_body_bytes)
+        connection = _CallerConnection(stream, parser, now)
         try:
-            while await self._serve_next(stream, parser):
+            while await self._serve_next(connection):
                 self._streams[stream] = False
         finally:
             del self._streams[stream]
@@ -129,12 +144,11 @@
             return _DEFAULT_LIMITS
         return self._host_table.configuration.limits
 
-    async def _serve_next(
-        self, stream: streams.Stream, parser: http1.RequestParser
-    ) -> bool:
+    async def _serve_next(self, connection: _CallerConnection) -> bool:
         """Answer the next request; return whether another one may follow."""
+        stream = connection.stream
         try:
-            received = await self._read_request(stream, parser)
+            received = await self._read_request(connection)
         except (exceptions.ProtocolError, exceptions.RefusedError) as error:
             refusal = error
             if not isinstance(error, exceptions.RefusedError):
@@ -142,6 +156,7 @@
             self._node.log.record("request.malformed", error=str(error))
             answer = http_adapter.build_refusal(refusal, "")
             await self._write(stream, answer, "GET", keep_alive=False)
+            await self._linger(stream)
             return False
         if received is None:
             return False
@@ -153,17 +168,39 @@
             received.accepts_chunks,
         )
         with stream.cancel_on_disconnect():
-            answer = await self._answer(received.request, receiver)
-        if answer is None:
-            return receiver.keep_alive
-        keep_alive = received.keep_alive and not self.is_leaving
-        await self._write(stream, answer, received.request.method, keep_alive)
+            answer = await self._answer(
+                received.request, receiver, connection.read_at
+            )
+        keep_alive = receiver.keep_alive
+        if answer is not None:
+            keep_alive = received.keep_alive and not self.is_leaving
+            method = received.request.method
+            await self._write(stream, answer, method, keep_alive)
+        if received.keep_alive and not keep_alive:
+            await self._linger(stream)
         return keep_alive
 
+    async def _linger(self, stream: streams.Stream) -> None:
+        """Discard what a caller still sends, until it has closed.
+
+        Bytes that arrive on a closed socket reset the connection, and the
+        caller then loses an answer that it has not read yet.
+        """
+        stream.end_sending()
+        end = self._node.time.now() + _LINGER_TIMEOUT
+        while (remaining := end - self._node.time.now()).value > 0:
+            try:
+                if not await stream.receive(remaining):
+                    return
+            except OSError:
+                # Nothing more is owed to the caller.
+                return
+
     async def _read_request(
-        self, stream: streams.Stream, parser: http1.RequestParser
+        self, connection: _CallerConnection
     ) -> http1.ReceivedRequest | None:
         """Return the next request, or None if there will be none."""
+        stream, parser = connection.stream, connection.parser
         limits = self._limits
         timeout = clock.Milliseconds(limits.idle_timeout_ms)
         while (received := parser.pop_request()) is None:
@@ -181,6 +218,7 @@
                 return None
             self._streams[stream] = True
             self._awaiting_first_request.pop(stream, None)
+            connection.read_at = self._node.time.now() - stream.waited
             parser.feed(data)
             timeout = _BODY_TIMEOUT
             if not parser.has_complete_head():
@@ -201,9 +239,19 @@
         self,
         request: calls.HttpRequest,
         receiver: receivers.CallerReceiver,
+        started_at: clock.Milliseconds,
     ) -> calls.HttpAnswer | None:
         """Return the answer to a request and log its outcome.
 
+        Parameters
+        ----------
+        request : calls.HttpRequest
+            The request.
+        receiver : receivers.CallerReceiver
+            Receives a large answer in parts.
+        started_at : clock.Milliseconds
+            When the request arrived, from which its deadline counts.
+
         Returns
         -------
         calls.HttpAnswer or None
@@ -216,7 +264,6 @@
             rest; the connection has to be closed.
         """
         node = self._node
-        started_at = node.time.now()
         outcome, request_id, route, detail = _Kind.INTERNAL.name, "", "", ""
         retry_after = clock.ZERO
         status = 499
@@ -300,13 +347,17 @@
                 _Kind.NO_SUCH_ROUTE,
                 f"no route for {received.host}{received.forwarded.path}",
             )
+        timeout = clock.Milliseconds(route.timeout_ms)
+        if received.timeout is not None:
+            timeout = min(timeout, received.timeout)
+        if started_at + timeout <= self._node.time.now():
+            raise exceptions.RefusedError(
+                _Kind.TIMED_OUT, "the request waited behind an earlier one"
+            )
         organisation = await self._authenticate(table, route, received.key)
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
-        timeout = clock.Milliseconds(route.timeout_ms)
-        if received.timeout is not None:
-            timeout = min(timeout, received.timeout)
         return dispatchers.RoutedCall(
             request_id=received.request_id,
             route=route,
--- a/cyclamenwell/sidecar/streams.py
+++ b/cyclamenwell/sidecar/streams.py
@@ -59,10 +59,14 @@
         # descriptors.
         self._descriptor = connection.fileno()
         self._received = bytearray()
+        self._received_at = 0.0  # Loop time of the oldest byte not taken yet.
         self._unsent = bytearray()
+        # How long the bytes of the last `receive` had waited to be taken.
+        self.waited = clock.ZERO
         self._is_reading = False
         self._has_ended = False
         self._is_closing = False
+        self._is_ending = False
         self._error: Exception | None = None
         self._reader: asyncio.Future | None = None
         self._writer: asyncio.Future | None = None
@@ -103,6 +107,9 @@
         if self._received:
             data = bytes(self._received)
             self._received.clear()
+            self.waited = clock.Milliseconds.from_seconds(
+                self.loop.time() - self._received_at
+            )
             if not self._is_reading and not self._has_ended:
                 self._begin_reading()
             return data
@@ -182,6 +189,12 @@
             self._is_closing = True
             self.loop.call_later(_CLOSE_TIMEOUT.seconds, self.abort)
 
+    def end_sending(self) -> None:
+        """Tell the other side, after the unsent bytes, that no more follow."""
+        self._is_ending = True
+        if not self._unsent:
+            self._shut_down()
+
     def abort(self) -> None:
         """Close immediately and discard unsent bytes."""
         self._close_callback = None
@@ -218,6 +231,8 @@
         if not data:
             self._handle_end()
             return
+        if not self._received:
+            self._received_at = self.loop.time()
         self._received += data
         if len(self._received) > _MAX_UNREAD_BYTES:
             self._is_reading = False
@@ -237,9 +252,18 @@
             self.loop.remove_writer(self._descriptor)
             if self._is_closing or self._has_ended:
                 self.abort()
+            elif self._is_ending:
+                self._shut_down()
         if len(self._unsent) <= _MAX_UNSENT_BYTES:
             _resolve(self._writer)
 
+    def _shut_down(self) -> None:
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            # The other side has closed already; `receive` tells so.
+            self._error = error
+
     def _handle_end(self) -> None:
         """Handle the end of the incoming data."""
         self._has_ended = True
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -231,6 +231,24 @@
         return deployment.Result(call.request_id, 200, (), body)
 
 
+@dataclasses.dataclass(frozen=True)
+class SlowDispatcherStandin(DispatcherStandin):
+    """A dispatcher that takes some time for each call.
+
+    Parameters
+    ----------
+    delay : clock.Milliseconds
+        Time for each call.
+    """
+
+    delay: clock.Milliseconds = clock.Milliseconds(300)
+
+    async def run(self, call: dispatchers.RoutedCall) -> deployment.Result:
+        """Answer a call after a delay."""
+        await asyncio.sleep(self.delay.seconds)
+        return await super().run(call)
+
+
 def build_route(*services: str, **changes) -> deployment.Route:
     """Return a route that is split evenly between services."""
     values = {
