End an answer that a faulty target never finishes

Cause: an answer that is passed on in parts had no limit as long as a part came within a second, so a body without end held its slot and its connections until the caller left. Change: such an answer is broken off 10 s after the deadline of its request.

--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -52,6 +52,9 @@
 # The parts of an answer that is being passed on may arrive after the deadline,
 # at most this time apart.
 _PART_TIMEOUT = clock.Milliseconds(1000)
+# An answer that is still being passed on this long after the deadline is broken
+# off: a faulty target may send a body without end.
+_MAX_OVERTIME = clock.Milliseconds(10_000)
 # Answers to other requests that are skipped while waiting for the right one. A
 # late answer or two is common; a target that sends more than this is faulty.
 _MAX_FOREIGN_ANSWERS = 8
@@ -325,6 +328,8 @@
         try:
             while True:
                 remaining = deadline - self._time.now()
+                if (remaining + _MAX_OVERTIME).value <= 0:
+                    raise exceptions.ProtocolError("the answer does not end")
                 part = await connection.receive_part(
                     max(remaining, _PART_TIMEOUT)
                 )
--- a/cyclamenwell/sidecar/tests/test_large_answers.py
+++ b/cyclamenwell/sidecar/tests/test_large_answers.py
@@ -10,6 +10,7 @@
 from cyclamenwell.platform.tests import builders as platform_builders
 from cyclamenwell.platform.tests import fake_target
 from cyclamenwell.platform.tests import scripted_target
+from cyclamenwell.sidecar import executor as executors
 from cyclamenwell.sidecar import http_client
 from cyclamenwell.sidecar import receivers
 from cyclamenwell.sidecar import streams
@@ -23,10 +24,10 @@
 MAX_PEAK_BYTES = 200_000_000
 
 
-async def run_request(executor, receiver):
+async def run_request(executor, receiver, timeout=DEADLINE):
     """Run a request and return its result."""
     offer = builders.build_offer()
-    deadline = clock.SystemClock().now() + DEADLINE
+    deadline = clock.SystemClock().now() + timeout
     async with executor.reserve(offer) as slot:
         return await executor.run(
             offer, builders.build_request(), deadline, slot, receiver
@@ -124,6 +125,41 @@
     assert sum(sent) < 16_000_000
 
 
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+def test_a_body_without_end_ends_with_its_request(monkeypatch, pause):
+    """Guards against a slot that a faulty target holds for ever.
+
+    The caller keeps reading, and the parts arrive fast or slowly.
+    """
+    monkeypatch.setattr(
+        executors, "_MAX_OVERTIME", clock.Milliseconds(300), raising=False
+    )
+
+    async def serve(connection):
+        request = await connection.read_request()
+        head, _ = scripted_target.encode_framed_answer(
+            request.find_header("request-id"), b"", "end"
+        )
+        connection.stream.send(head + b"x" * 400_000)
+        while connection.stream.is_open:
+            connection.stream.send(b"x" * 10_000)
+            await connection.stream.flush(DEADLINE)
+            await asyncio.sleep(pause)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            request = run_request(
+                executor,
+                builders.RecordingReceiver(),
+                clock.Milliseconds(300),
+            )
+            with pytest.raises(exceptions.BrokenAnswerError):
+                await asyncio.wait_for(request, DEADLINE.seconds)
+            assert executor.admission_queue.slot_scheduler.running == 0
+
+    asyncio.run(run_scenario())
+
+
 def test_large_answers_reach_slow_callers_whole(tmp_path):
     """Guards against memory that grows with the size of the answers."""
 
