Draw candidate targets before filtering, with the local one

Change: the balancer draws a sample that always holds the local target and filters that; all targets are scanned only if the sample holds none that is free. Refusals of saturated targets are kept by rank. Result: routing, load and sidecar tests pass.

--- a/cyclamenwell/routing/saturation.py
+++ b/cyclamenwell/routing/saturation.py
@@ -60,7 +60,8 @@
     def __init__(self, time: clock.Clock, generator: random.Random) -> None:
         self._time = time
         self._random = generator
-        self._refusals: dict[tuple[str, _Rank], _Refusal] = {}
+        # By rank and target.
+        self._refusals: dict[_Rank, dict[str, _Refusal]] = {}
 
     def note_refusal(
         self,
@@ -85,7 +86,7 @@
         now = self._time.now()
         hold = min(max(expected_wait * _HOLD_FRACTION, _MIN_HOLD), _MAX_HOLD)
         hold *= self._random.uniform(1.0 - _JITTER, 1.0 + _JITTER)
-        self._refusals[target_id, rank] = _Refusal(
+        self._refusals.setdefault(rank, {})[target_id] = _Refusal(
             max_wait, now + hold, now + expected_wait
         )
 
@@ -100,33 +101,36 @@
         Only unexpired refusals of requests count that had the same rank and
         accepted about the same wait or a longer one.
         """
-        if not self._refusals:
+        refusals = self._refusals.get(rank)
+        if not refusals:
             return frozenset()
         now = self._time.now()
         saturated = []
         for target_id in target_ids:
-            refusal = self._refusals.get((target_id, rank))
+            refusal = refusals.get(target_id)
             if refusal is None:
                 continue
             if refusal.expires_at <= now:
-                del self._refusals[target_id, rank]
+                del refusals[target_id]
             elif max_wait <= refusal.max_wait * _WAIT_TOLERANCE:
                 saturated.append(target_id)
         return frozenset(saturated)
 
     def keep_only(self, target_ids: Collection[str]) -> None:
         """Drop the refusals of targets that are not in a collection."""
-        for key in [key for key in self._refusals if key[0] not in target_ids]:
-            del self._refusals[key]
+        for refusals in self._refusals.values():
+            for target_id in [t for t in refusals if t not in target_ids]:
+                del refusals[target_id]
 
     def find_expected_wait(
         self, target_ids: Collection[str], rank: _Rank
     ) -> clock.Milliseconds:
         """Return the shortest remaining wait for a slot, 0 if none is known."""
         now = self._time.now()
+        refusals = self._refusals.get(rank, {})
         waits = [
-            max(self._refusals[target_id, rank].free_at - now, clock.ZERO)
+            max(refusals[target_id].free_at - now, clock.ZERO)
             for target_id in target_ids
-            if (target_id, rank) in self._refusals
+            if target_id in refusals
         ]
         return min(waits, default=clock.ZERO)
--- a/cyclamenwell/routing/target_balancer.py
+++ b/cyclamenwell/routing/target_balancer.py
@@ -52,7 +52,8 @@
 # Of more targets a random sample is compared, so that the cost does not grow
 # with the service; the best of eight is nearly the best of all.
 _MAX_CANDIDATES = 8
-_MAX_NEAR_CANDIDATES = 3
+_MAX_DRAWN_CANDIDATES = 6
+_MAX_NEAR_CANDIDATES = 2
 _LOAD_LIFETIME = clock.Milliseconds(1500)
 _MIN_PAUSE = clock.Milliseconds(250)
 _MAX_PAUSE = clock.Milliseconds(2000)
@@ -102,6 +103,14 @@
         # Moving average of the service time of each route, and the number of
         # its answers.
         self._route_times: dict[str, tuple[float, int]] = {}
+        # For each service, its targets and those of them that are near.
+        self._near_targets: dict[
+            str,
+            tuple[
+                Collection[deployment.TargetEntry],
+                Collection[deployment.TargetEntry],
+            ],
+        ] = {}
 
     def choose(
         self,
@@ -132,43 +141,94 @@
             if every target is paused.
         """
         now = self._time.now().value
-        usable = [
-            entry
-            for entry in entries
-            if entry.state is enumerations.InstanceState.SERVING
-            and entry.data_centre not in data_centres_out
-            and entry.target_id not in tried
-        ]
-        unpaused = [
-            entry
-            for entry in usable
-            if self._find_record(entry.target_id).paused_until.value <= now
-        ]
-        unsaturated = [
-            entry for entry in unpaused if entry.target_id not in saturated
-        ]
         average_time, _ = self._route_times.get(
             route, (_INITIAL_ROUTE_TIME.value, 0)
         )
+        usable = [
+            entry
+            for entry in self._draw_candidates(entries)
+            if self._is_free(entry, now, saturated)
+            and _is_usable(entry, data_centres_out, tried)
+        ]
+        if not usable:
+            usable = self._list_usable(
+                entries, now, data_centres_out, tried, saturated
+            )
+            if len(usable) > _MAX_CANDIDATES:
+                usable = self._random.sample(usable, _MAX_CANDIDATES)
         return min(
-            self._draw_candidates(unsaturated if unpaused else usable),
+            usable,
             key=lambda entry: self._estimate_time(
                 entry, average_time, transfer_bytes, now
             ),
             default=None,
         )
 
-    def _draw_candidates(
-        self, entries: list[deployment.TargetEntry]
+    def _list_usable(
+        self,
+        entries: Collection[deployment.TargetEntry],
+        now: float,
+        data_centres_out: Collection[str],
+        tried: Collection[str],
+        saturated: Collection[str],
     ) -> list[deployment.TargetEntry]:
-        """Return all targets, or of many a sample that favours near ones."""
+        """Return the targets that are free, or all if all are paused."""
+        usable = [
+            entry
+            for entry in entries
+            if _is_usable(entry, data_centres_out, tried)
+        ]
+        unpaused = [
+            entry
+            for entry in usable
+            if self._find_record(entry.target_id).paused_until.value <= now
+        ]
+        if not unpaused:
+            return usable
+        return [e for e in unpaused if e.target_id not in saturated]
+
+    def _is_free(
+        self,
+        entry: deployment.TargetEntry,
+        now: float,
+        saturated: Collection[str],
+    ) -> bool:
+        """Return whether a target is neither paused nor saturated."""
+        if entry.target_id in saturated:
+            return False
+        return self._find_record(entry.target_id).paused_until.value <= now
+
+    def _draw_candidates(
+        self, entries: Collection[deployment.TargetEntry]
+    ) -> Collection[deployment.TargetEntry]:
+        """Return all targets, or of many a sample that favours near ones.
+
+        The target beside the node is always part of the sample.
+        """
         if len(entries) <= _MAX_CANDIDATES:
             return entries
-        drawn = self._random.sample(entries, _MAX_CANDIDATES)
-        near = [e for e in entries if e.data_centre == self._data_centre]
+        drawn = self._random.sample(entries, _MAX_DRAWN_CANDIDATES)
+        near = self._list_near(entries)
         if len(near) > _MAX_NEAR_CANDIDATES:
-            near = self._random.sample(near, _MAX_NEAR_CANDIDATES)
-        return drawn + near
+            # The local target, if there is one, comes first.
+            local = near[:1] if near[0].host == self._host else ()
+            near = (*local, *self._random.sample(near, _MAX_NEAR_CANDIDATES))
+        drawn.extend(near)
+        return drawn
+
+    def _list_near(
+        self, entries: Collection[deployment.TargetEntry]
+    ) -> Collection[deployment.TargetEntry]:
+        """Return the targets in the data centre, the local one first."""
+        service = next(iter(entries)).service
+        known, near = self._near_targets.get(service, (None, ()))
+        if known is not entries:
+            near = sorted(
+                (e for e in entries if e.data_centre == self._data_centre),
+                key=lambda entry: entry.host != self._host,
+            )
+            self._near_targets[service] = (entries, near)
+        return near
 
     def begin(self, target_id: str) -> None:
         """Count a request that is sent to a target."""
@@ -301,6 +361,19 @@
         return expected * (1.0 + self._random.random() * _JITTER)
 
 
+def _is_usable(
+    entry: deployment.TargetEntry,
+    data_centres_out: Collection[str],
+    tried: Collection[str],
+) -> bool:
+    """Return whether a target may get a request that it has not had yet."""
+    return (
+        entry.state is enumerations.InstanceState.SERVING
+        and entry.data_centre not in data_centres_out
+        and entry.target_id not in tried
+    )
+
+
 def _compute_decay(age_ms: float) -> float:
     """Return the weight of an observation of some age, from 1 down to 0."""
     return 0.5 ** (age_ms / _HALF_LIFE.value)
