Bound the whole head and body of a request, and refuse wrong settings

Cause: the time limits of a request began anew with each byte, so a caller that sent one now and then held its connection for ever. A settings file with a list in place of the bounds, or with ports or rates that are no numbers, ended the start with an AttributeError or a ValueError in place of a message; a revision of JSON true passed as 1. The forwarder of experiments called a function of a module that does not have it. Change: one limit for the head, from its first byte, and one for the body; the settings name the field and what is allowed; revisions are integers.

--- a/cyclamenwell/clock.py
+++ b/cyclamenwell/clock.py
@@ -119,7 +119,7 @@
     """
 
     def __init__(self) -> None:
-        self._now = super().now()
+        self.advance_turn()
 
     def now(self) -> Milliseconds:
         """Return the monotonic time at the beginning of the turn."""
@@ -127,7 +127,7 @@
 
     def advance_turn(self) -> None:
         """Read the clock at the beginning of a turn."""
-        self._now = super().now()
+        self._now = Milliseconds(time.clock_gettime_ns(_MONOTONIC_CLOCK) / 1e6)
 
 
 class ManualClock(Clock):
--- a/cyclamenwell/load/forwarder.py
+++ b/cyclamenwell/load/forwarder.py
@@ -24,8 +24,8 @@
 from cyclamenwell.load import ports
 from cyclamenwell.node import calls
 from cyclamenwell.node import cancellation as cancellations
-from cyclamenwell.node import frontend
 from cyclamenwell.node import headers
+from cyclamenwell.node import problems
 from cyclamenwell.node import target as targets
 from cyclamenwell.node import webserver
 
@@ -120,7 +120,7 @@
         try:
             return self._send(request.find_header("host"), sent, wait)
         except exceptions.RefusedError as refusal:
-            return frontend.build_problem(refusal)
+            return problems.build_problem(refusal)
 
     def _identify_organisation(
         self, request: calls.HttpRequest, from_target: bool
--- a/cyclamenwell/platform/decoder.py
+++ b/cyclamenwell/platform/decoder.py
@@ -59,7 +59,7 @@
         unreadable.
     """
     key, revision = raw.get("key"), raw.get("revision")
-    if not isinstance(key, str) or not isinstance(revision, int):
+    if not isinstance(key, str) or not _is_integer(revision):
         raise exceptions.PlatformError(f"item has no key or no revision: {raw}")
     if raw.get("tombstone"):
         return deployment.PublishedItem(key, revision, removed=True)
--- a/cyclamenwell/platform/settings.py
+++ b/cyclamenwell/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 import pathlib
 from typing import Any
 
@@ -18,6 +19,7 @@
 # The platform assigns each node a range of ports for traffic between nodes. The
 # first port receives messages, the last one serves metrics.
 _DEFAULT_PORTS = (7000, 7015)
+_DEFAULT_READS_PER_SECOND = 1000.0
 
 
 def read_settings(path: pathlib.Path) -> sidecar.SidecarSettings:
@@ -59,7 +61,7 @@
     def decode(self) -> sidecar.SidecarSettings:
         listen = self._read_mapping(self._raw, "listen")
         provider = self._read_mapping(self._raw, "provider")
-        ports = self._raw.get("internal_port_range") or _DEFAULT_PORTS
+        first_port, last_port = self._read_ports()
         ready = listen.get("ready")
         return sidecar.SidecarSettings(
             name=self._read_text(self._raw, "node"),
@@ -73,23 +75,25 @@
                 if ready
                 else sidecar.SocketAddress()
             ),
-            peer_port=int(ports[0]),
-            metrics_port=int(ports[-1]),
+            peer_port=first_port,
+            metrics_port=last_port,
             target_address=self._read_address(self._raw, "app_addr"),
             seeds=tuple(
                 self._split_address(str(seed), "seeds")
-                for seed in self._raw.get("seeds") or ()
+                for seed in self._read_list(self._raw, "seeds", ())
             ),
             store=sidecar.StoreSettings(
                 address=self._read_address(provider, "address"),
-                reads_per_second=float(provider.get("reads_per_s") or 1000.0),
+                reads_per_second=self._read_rate(provider, "reads_per_s"),
             ),
             bounds=self._decode_bounds(),
         )
 
     def _decode_bounds(self) -> sidecar.Bounds:
         """Return the bounds; missing ones get the defaults of the schema."""
-        raw = self._raw.get("bounds") or {}
+        raw: Mapping[str, Any] = {}
+        if self._raw.get("bounds") is not None:
+            raw = self._read_mapping(self._raw, "bounds")
         milliseconds = {
             "grace": (raw.get("grace_s"), 1000.0),
             "retry_window": (raw.get("budget_window_s"), 1000.0),
@@ -121,6 +125,32 @@
             raise self._build_error(name, value, "a mapping")
         return value
 
+    def _read_list(
+        self, mapping: Mapping[str, Any], name: str, default: Sequence[Any]
+    ) -> Sequence[Any]:
+        value = mapping.get(name)
+        if value is None:
+            return default
+        if not isinstance(value, list):
+            raise self._build_error(name, value, "a list")
+        return value
+
+    def _read_ports(self) -> tuple[int, int]:
+        """Return the first and the last port for traffic between nodes."""
+        name = "internal_port_range"
+        ports = self._read_list(self._raw, name, _DEFAULT_PORTS)
+        if not ports or not all(type(port) is int for port in ports):
+            raise self._build_error(name, ports, "two port numbers")
+        return ports[0], ports[-1]
+
+    def _read_rate(self, mapping: Mapping[str, Any], name: str) -> float:
+        value = mapping.get(name)
+        if value is None:
+            return _DEFAULT_READS_PER_SECOND
+        if not _is_number(value) or value <= 0:
+            raise self._build_error(name, value, "a positive number")
+        return float(value)
+
     def _read_text(self, mapping: Mapping[str, Any], name: str) -> str:
         value = mapping.get(name)
         if not isinstance(value, str) or not value:
--- a/cyclamenwell/platform/tests/test_decoder.py
+++ b/cyclamenwell/platform/tests/test_decoder.py
@@ -208,3 +208,10 @@
     )
     assert not configuration.organisations
     assert host_routes.HostTable(configuration).needs_keys
+
+
+def test_a_revision_that_is_no_number_is_refused():
+    """Guards against an item that compares as older or newer than others."""
+    item = builders.build_item("servers/i-1", builders.build_target_value())
+    with pytest.raises(exceptions.PlatformError, match="no revision"):
+        decoder.decode_item(item | {"revision": True})
--- a/cyclamenwell/platform/tests/test_settings.py
+++ b/cyclamenwell/platform/tests/test_settings.py
@@ -37,6 +37,15 @@
         ('node: "sidecar-a-1"', "", "node: got None"),
         ("127.0.0.2:8548", "127.0.0.2", "outbound: got '127.0.0.2'"),
         ("provider: {", "other: {", "provider: got None"),
+        ("[7000, 7015]", "[a, 7015]", "internal_port_range: got"),
+        ("[7000, 7015]", "7", "internal_port_range: got 7"),
+        ("reads_per_s: 2000", "reads_per_s: [1]", "reads_per_s: got"),
+        ("seeds: []", "seeds: 7", "seeds: got 7"),
+        (
+            "bounds: {drain_ms: 1500",
+            "bounds: [drain_ms, 1500] #",
+            "bounds: got",
+        ),
     ],
 )
 def test_error_names_the_field_and_the_value(tmp_path, old, new, expected):
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -27,7 +27,7 @@
 # A caller that takes longer to read an answer is disconnected, so that unread
 # answers do not accumulate in memory.
 _WRITE_TIMEOUT = clock.Milliseconds(10_000)
-# For each wait for body data; the largest allowed body arrives within it.
+# From the end of the head; the largest allowed body arrives within it.
 _BODY_TIMEOUT = clock.Milliseconds(30_000)
 # A caller sends its first request within this time after connecting: a round
 # trip between data centres and a short delay at the caller.
@@ -199,14 +199,23 @@
     async def _read_request(
         self, connection: _CallerConnection
     ) -> http1.ReceivedRequest | None:
-        """Return the next request, or None if there will be none."""
+        """Return the next request, or None if there will be none.
+
+        The limits hold for the whole head and the whole body: a caller that
+        sends a byte now and then would never reach one that starts anew.
+        """
         stream, parser = connection.stream, connection.parser
         limits = self._limits
         timeout = clock.Milliseconds(limits.idle_timeout_ms)
+        end: clock.Milliseconds | None = None
+        is_in_body = False
         while (received := parser.pop_request()) is None:
             if parser.pop_continue_expectation():
                 stream.send(_CONTINUE_RESPONSE)
             try:
+                if timeout.value <= 0:
+                    # Bytes may arrive without end.
+                    raise TimeoutError
                 data = await stream.receive(timeout)
             except TimeoutError:
                 if not parser.has_data():
@@ -218,11 +227,15 @@
                 return None
             self._streams[stream] = True
             self._awaiting_first_request.pop(stream, None)
-            connection.read_at = self._node.time.now() - stream.waited
+            now = self._node.time.now()
+            connection.read_at = now - stream.waited
             parser.feed(data)
-            timeout = _BODY_TIMEOUT
-            if not parser.has_complete_head():
-                timeout = clock.Milliseconds(limits.header_timeout_ms)
+            if not is_in_body and parser.has_complete_head():
+                is_in_body = True
+                end = now + _BODY_TIMEOUT
+            elif end is None:
+                end = now + clock.Milliseconds(limits.header_timeout_ms)
+            timeout = end - now
         return received
 
     async def _write(
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -272,7 +272,9 @@
 
 @contextlib.asynccontextmanager
 async def run_frontend(
-    dispatcher: DispatcherStandin, route: deployment.Route
+    dispatcher: DispatcherStandin,
+    route: deployment.Route,
+    limits: deployment.ClientLimits | None = None,
 ) -> AsyncIterator[tuple[frontends.Frontend, int]]:
     """Run a frontend with a dispatcher stand-in; yield it and its port."""
     time = clock.SystemClock()
@@ -280,7 +282,13 @@
     state = published.PublishedState(time, clock.Milliseconds(2000))
     state.apply_operators(
         published_builders.list_all(
-            1, published_builders.build_configuration(1, 1, routes=(route,))
+            1,
+            published_builders.build_configuration(
+                1,
+                1,
+                routes=(route,),
+                limits=limits or deployment.ClientLimits(),
+            ),
         )
     )
     state.apply_targets(
--- a/cyclamenwell/sidecar/tests/test_frontend.py
+++ b/cyclamenwell/sidecar/tests/test_frontend.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import pytest
+
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
 from cyclamenwell.sidecar import frontend as frontends
 from cyclamenwell.sidecar import http_client
@@ -166,3 +169,54 @@
             assert services.count("first") == services.count("second") == 10
 
     asyncio.run(run_scenario())
+
+
+async def send_slowly(port, first):
+    """Send some bytes, then one byte every 50 ms; return the time it lasts."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    stream = await streams.open_stream(builders.LOOPBACK, port, TIMEOUT)
+    try:
+        stream.send(first)
+        while loop.time() - started_at < 3:
+            stream.send(b"x")
+            try:
+                if await stream.receive(clock.Milliseconds(50)):
+                    break
+            except TimeoutError:
+                continue
+    except ConnectionResetError:
+        pass
+    finally:
+        stream.abort()
+    return loop.time() - started_at
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        b"GET /1 HTTP/1.1\r\nhost: meters.example\r\nx-name: ",
+        b"POST /1 HTTP/1.1\r\nhost: meters.example\r\n"
+        b"content-length: 999\r\n\r\n",
+    ],
+    ids=["head", "body"],
+)
+def test_a_request_that_arrives_byte_by_byte_ends_in_time(monkeypatch, first):
+    """Guards against callers that hold a connection with a byte now and then.
+
+    Each byte would start the time limit anew.
+    """
+    monkeypatch.setattr(frontends, "_BODY_TIMEOUT", clock.Milliseconds(400))
+
+    async def run_scenario():
+        dispatcher = builders.DispatcherStandin(lambda call: b"")
+        route = builders.build_route("meter")
+        limits = deployment.ClientLimits(header_timeout_ms=400.0)
+        async with builders.run_frontend(dispatcher, route, limits) as (
+            _,
+            port,
+        ):
+            assert await send_slowly(port, first) < 1.5
+            assert not dispatcher.calls
+
+    asyncio.run(run_scenario())
