Round the parts of the retry budget at random, not down

Cause: at 195 nodes the slack of 213 is 0.55 of a retry for each node and the ratio adds a tenth of its requests, so nodes with few requests for a service had a part below one and never retried. Change: each node adds a random number from 0 to 1 before it rounds down, drawn again after each retry and each window; the fleet uses its part on average.

--- a/cyclamenwell/retries/tests/test_window_budget.py
+++ b/cyclamenwell/retries/tests/test_window_budget.py
@@ -20,7 +20,9 @@
     time = clock.ManualClock()
     budgets = []
     for _ in range(nodes):
-        budget = window_budget.WindowRetryBudget(time, RATIO, SLACK, WINDOW)
+        budget = window_budget.WindowRetryBudget(
+            time, RATIO, SLACK, WINDOW, random.Random(1)
+        )
         budget.set_fleet_size(nodes)
         budgets.append(budget)
     generator = random.Random(1)
@@ -43,8 +45,43 @@
 def test_budget_is_restored_after_the_window():
     """Guards against a node that never retries again."""
     time = clock.ManualClock()
-    budget = window_budget.WindowRetryBudget(time, RATIO, SLACK, WINDOW)
+    budget = window_budget.WindowRetryBudget(
+        time, RATIO, SLACK, WINDOW, random.Random(1)
+    )
     while budget.spend("meter"):
         pass
     time.advance(WINDOW + clock.Milliseconds(1))
     assert budget.spend("meter")
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_small_parts_of_many_nodes_are_used(seed):
+    """Guards against a budget that is lost because each part is below one.
+
+    195 nodes send 21 requests a second for a service, so the part of each node
+    is about one retry, with fractions that rounding down would drop.
+    """
+    generator = random.Random(seed)
+    time = clock.ManualClock()
+    budgets = []
+    for _ in range(195):
+        budget = window_budget.WindowRetryBudget(
+            time, RATIO, 213.0, WINDOW, generator
+        )
+        budget.set_fleet_size(195)
+        budgets.append(budget)
+    retries, requests = [], []
+    for _ in range(1260):
+        time.advance(clock.Milliseconds(generator.expovariate(21.0 / 1000)))
+        node = generator.randrange(195)
+        budgets[node].record_request("works")
+        requests.append((time.now(), node))
+        if budgets[node].spend("works"):
+            retries.append(time.now())
+    start = clock.Milliseconds(time.now().value - WINDOW.value)
+    retried = sum(t >= start for t in retries)
+    recent = [node for t, node in requests if t >= start]
+    # Only a node that has requests can use its part.
+    parts = 0.5 * (RATIO * len(recent) + 213.0 * len(set(recent)) / 195)
+    assert retried >= 0.8 * parts
+    assert retried <= RATIO * len(recent) + 213.0
--- a/cyclamenwell/retries/window_budget.py
+++ b/cyclamenwell/retries/window_budget.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import random
 
 from cyclamenwell import clock
 
@@ -35,6 +36,9 @@
         Retries beyond the ratio that the fleet may send in a window.
     window : clock.Milliseconds
         Length of the sliding window.
+    generator : random.Random
+        Rounds the part of a node, which may be a fraction of a retry. A fleet
+        of hundreds of nodes that round down would never use its slack.
     """
 
     def __init__(
@@ -43,6 +47,7 @@
         ratio: float,
         slack: float,
         window: clock.Milliseconds,
+        generator: random.Random,
     ) -> None:
         self._time = time
         self._ratio = ratio * _USED_RATIO
@@ -50,6 +55,10 @@
         self._window = window
         self._requests: dict[str, collections.deque[float]] = {}
         self._retries: dict[str, collections.deque[float]] = {}
+        self._random = generator
+        # For each service, what is added to the part before it is rounded
+        # down, drawn again after each retry and each window.
+        self._roundings: dict[str, tuple[float, float]] = {}
         self._fleet_size = 1
 
     def set_fleet_size(self, nodes: int) -> None:
@@ -67,11 +76,21 @@
         retries = self._get_times_in_window(self._retries, service)
         requests = self._get_times_in_window(self._requests, service)
         allowed = self._ratio * len(requests) + self._slack / self._fleet_size
-        if len(retries) + 1 > allowed:
+        if len(retries) + 1 > allowed + self._find_rounding(service):
             return False
         retries.append(self._time.now().value)
+        self._roundings.pop(service, None)
         return True
 
+    def _find_rounding(self, service: str) -> float:
+        """Return a number from 0 to 1 that is uniform over the nodes."""
+        now = self._time.now().value
+        rounding, expiry = self._roundings.get(service, (0.0, 0.0))
+        if expiry <= now:
+            rounding = self._random.random()
+            self._roundings[service] = (rounding, now + self._window.value)
+        return rounding
+
     def _get_times_in_window(
         self,
         times_by_service: dict[str, collections.deque[float]],
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -102,7 +102,11 @@
         self._saturated = saturation.SaturatedTargets(time, generator)
         bounds = settings.bounds
         self._retry_budget = window_budget.WindowRetryBudget(
-            time, bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            time,
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window,
+            generator,
         )
         links = peers.LinkPool(time, settings.peer_port)
         executor = executors.Executor(context)
