Decode bodies above 16 MB from other nodes, and headers in one go

Cause: the Thrift library refuses strings above 16,384,000 bytes by default, so an upload that operators allow (64 MiB) failed at the node beside the target, after a slot was granted. Change: frames are decoded without a limit of strings, since links bound whole frames; headers are decoded at the end of the head. Result: test_a_body_of_any_size_arrives failed before with 20 MB and passes; cut and forged frames are refused. Node, peers and sidecar (part) tests pass.

--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -134,7 +134,8 @@
         self._reset()
 
     def _reset(self) -> None:
-        self._headers: list[httpfields.Header] = []
+        self._raw_headers: list[tuple[bytes, bytes]] = []
+        self._headers: tuple[httpfields.Header, ...] = ()  # Of a whole head.
         self._checked: dict[str, list[str]] = {}
         self._body: list[bytes] = []
         self._in_head = True
@@ -149,11 +150,7 @@
         self._head_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
         # A trailer is dropped: it arrives after the head was checked.
         if self._in_head:
-            name = _decode_name(name)
-            value = value.strip(b" \t").decode("latin-1")
-            self._headers.append(httpfields.Header(name, value))
-            if name in _CHECKED_NAMES:
-                self._checked.setdefault(name, []).append(value)
+            self._raw_headers.append((name, value))
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
@@ -191,6 +188,7 @@
         self._in_head = False
         self._unfinished_bytes = 0
         self._check_sizes()
+        self._decode_headers()
         version = self._parser.get_http_version()
         if version not in _VERSIONS:
             raise exceptions.ProtocolError(f"HTTP/{version} is not supported")
@@ -203,6 +201,17 @@
                 f"{', '.join(codings)!r}, must be chunked of HTTP/1.1"
             )
 
+    def _decode_headers(self) -> None:
+        """Decode all headers at once, which is faster than one by one."""
+        headers = []
+        for raw_name, raw_value in self._raw_headers:
+            name = _decode_name(raw_name)
+            value = raw_value.strip(b" \t").decode("latin-1")
+            headers.append(httpfields.Header(name, value))
+            if name in _CHECKED_NAMES:
+                self._checked.setdefault(name, []).append(value)
+        self._headers = tuple(headers)
+
     def _list_values(self, name: str) -> list[str]:
         return self._checked.get(name, [])
 
@@ -317,7 +326,7 @@
         request = calls.HttpRequest(
             method=self._parser.get_method().decode("latin-1"),
             path=self._url.decode("latin-1"),
-            headers=tuple(self._headers),
+            headers=self._headers,
             body=b"".join(self._body),
         )
         self._complete.append(
@@ -397,7 +406,7 @@
             return None
         body = b"" if self._is_head else b"".join(self._body)
         return ReceivedAnswer(
-            calls.HttpAnswer(self._status, tuple(self._headers), body),
+            calls.HttpAnswer(self._status, self._headers, body),
             self._keep_alive and not self._has_extra_data,
         )
 
@@ -508,9 +517,7 @@
         self._is_in_parts = True
         self._has_last_part = False
         return PartialAnswer(
-            calls.HttpAnswer(
-                self._status, tuple(self._headers), self.pop_part()
-            ),
+            calls.HttpAnswer(self._status, self._headers, self.pop_part()),
             int(lengths[0]) if lengths else None,
         )
 
@@ -560,7 +567,7 @@
             self.keep_alive = keep_alive
             return
         answer = calls.HttpAnswer(
-            self._status, tuple(self._headers), b"".join(self._body)
+            self._status, self._headers, b"".join(self._body)
         )
         self._complete.append(ReceivedAnswer(answer, keep_alive))
         self._is_in_answer = False
--- a/cyclamenwell/peers/codec.py
+++ b/cyclamenwell/peers/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import io
 from typing import Any
 
 from thrift import Thrift
@@ -28,6 +29,31 @@
     return transport.getvalue()
 
 
+class _FrameReader:
+    """What `fastbinary` needs of a protocol and of its transport, for a frame.
+
+    The classes of the library take as long to build as a short message to
+    decode, and by default refuse strings above 16 MB, which bodies may have.
+    Links bound the size of a whole frame.
+    """
+
+    __slots__ = ("cstringio_buf",)
+    string_length_limit = None
+    container_length_limit = None
+
+    def __init__(self, frame: bytes, start: int) -> None:
+        self.cstringio_buf = io.BytesIO(frame)
+        self.cstringio_buf.seek(start)
+
+    @property
+    def trans(self) -> _FrameReader:
+        return self
+
+    def cstringio_refill(self, partial: bytes, wanted: int) -> bytes:
+        """Refuse to read beyond the frame."""
+        raise EOFError(f"{wanted} bytes are missing after {len(partial)}")
+
+
 class Codec:
     """Encodes and decodes the messages of one protocol.
 
@@ -73,12 +99,10 @@
             If the frame is not a message of the protocol.
         """
         cls = self._find_class(frame)
-        protocol = TBinaryProtocol.TBinaryProtocol(
-            TTransport.TMemoryBuffer(frame, len(self._headers[cls]))
-        )
+        reader = _FrameReader(frame, len(self._headers[cls]))
         try:
             return fastbinary.decode_binary(
-                None, protocol, [cls, cls.THRIFT_SPEC]
+                None, reader, [cls, cls.THRIFT_SPEC]
             )
         except Exception as error:
             # On malformed input, fastbinary raises many types of exceptions,
--- a/cyclamenwell/sidecar/streams.py
+++ b/cyclamenwell/sidecar/streams.py
@@ -75,6 +75,7 @@
         # may be armed for an earlier time.
         self._read_deadline = 0.0
         self._read_timer: asyncio.TimerHandle | None = None
+        self._read_timer_at = 0.0
         self._writer: asyncio.Future | None = None
         self._close_callback: Callable[[], object] | None = None
         self._begin_reading()
@@ -233,30 +234,26 @@
         deadline = loop.time() + max(timeout.value, 0.0) / 1000.0
         self._read_deadline = deadline
         self._reader = loop.create_future()
-        timer = self._read_timer
-        if timer is None or timer.when() > deadline:
+        if self._read_timer is None or self._read_timer_at > deadline:
             self._arm_read_timer(deadline)
         try:
             await self._reader
         finally:
             self._reader = None
-            timer = self._read_timer
-            if timer is not None and (
-                timer.when() < loop.time() + _MIN_KEPT_TIMER_SECONDS
-            ):
+            if self._read_timer_at < loop.time() + _MIN_KEPT_TIMER_SECONDS:
                 self._cancel_read_timer()
 
     def _arm_read_timer(self, deadline: float) -> None:
         self._cancel_read_timer()
         self._read_timer = self.loop.call_at(deadline, self._check_deadline)
+        self._read_timer_at = deadline
 
     def _check_deadline(self) -> None:
         """End the wait if its deadline has come, else wait on."""
-        due = self._read_timer.when()
         self._read_timer = None
         if self._reader is None:
             return
-        if due < self._read_deadline:
+        if self._read_timer_at < self._read_deadline:
             self._arm_read_timer(self._read_deadline)
         else:
             _expire(self._reader)
