--- a/cyclamenwell/peers/codec.py
+++ b/cyclamenwell/peers/codec.py
@@ -68,6 +68,11 @@
         self._headers = {cls: _encode_header(cls) for cls in types.values()}
         self._by_name = {name.encode(): cls for name, cls in types.items()}
 
+    @property
+    def types(self) -> tuple[type, ...]:
+        """Classes of the protocol."""
+        return tuple(self._headers)
+
     def encode(self, message: Any) -> bytes:
         """Encode a message under the name of its class.
 
