Keep the end of an outage where it is while nodes talk about it

The node beside it had the removal at 25.9 s, but kept the target as one that had lapsed in an outage until 29.88 s. The store had returned to the nodes that it refused at 25.65 s, and the grace of 2 s should have ended at 27.65 s; nodes told each other the latest end they knew, each a little later than it was told, so at 195 nodes the end moved on as long as they talked. Change: an end that is within 500 ms of the known one is the same outage, and a node that reaches the store after it was told of the end does not note another one.

--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -20,6 +20,10 @@
 # Removals kept so that a peer can be sent changes only. A peer that is further
 # behind is sent all items.
 _MAX_REMOVALS = 512
+# Messages take some time, so the end of one outage looks a little later at each
+# node that is told of it. Without a tolerance, hundreds of nodes that tell each
+# other the latest end they know move it on as long as they talk.
+_SAME_OUTAGE_TOLERANCE = clock.Milliseconds(500)
 
 
 class PrefixReplica:
@@ -222,9 +226,16 @@
             Time since the end of the outage, as seen by another node.
         """
         end = self._time.now() - age
-        if self._outage_end is None or end > self._outage_end:
+        if (
+            self._outage_end is None
+            or end > self._outage_end + _SAME_OUTAGE_TOLERANCE
+        ):
             self._outage_end = end
 
+    def has_outage_ended_since(self, begin: clock.Milliseconds) -> bool:
+        """Return whether the end of an outage after some time is known."""
+        return self._outage_end is not None and self._outage_end >= begin
+
     def apply_operators(self, changes: deployment.PrefixChanges) -> None:
         """Merge changes to items published by operators."""
         changed_items = self.operators.apply(changes)
--- a/cyclamenwell/configuration/tests/test_published.py
+++ b/cyclamenwell/configuration/tests/test_published.py
@@ -1,5 +1,7 @@
 """Tests of merging published items from the store and from other nodes."""
 
+import random
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -105,6 +107,32 @@
     assert state.list_targets("meter") == ()
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_the_end_of_an_outage_does_not_move_while_nodes_talk(time, seed):
+    """Guards against targets that are used long after they have gone.
+
+    200 nodes tell each other some hundred times a second how long ago the
+    store has returned; each message takes up to 40 ms. Entries that are
+    removed after the return may stay in use for the grace period only.
+    """
+    generator = random.Random(seed)
+    states = [published.PublishedState(time, REAPPEARANCE) for _ in range(200)]
+    states[0].note_outage_end()
+    messages = []
+    while any(state.since_outage is not None for state in states):
+        sender, receiver = generator.sample(states, 2)
+        if (age := sender.since_outage) is not None:
+            arrives_at = time.now() + clock.Milliseconds(
+                generator.uniform(1.0, 40.0)
+            )
+            messages.append((arrives_at, receiver, age))
+        time.advance(clock.Milliseconds(0.5))
+        for message in [m for m in messages if m[0] <= time.now()]:
+            messages.remove(message)
+            message[1].note_outage_end(message[2])
+        assert time.now() < REAPPEARANCE + clock.Milliseconds(600)
+
+
 def test_a_removal_without_an_outage_applies_at_once(state):
     """Guards against requests to a target that has stopped."""
     state.apply_targets(builders.list_all(10, builders.build_target("i-1", 4)))
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -252,6 +252,8 @@
         if self._lost_since is None:
             return
         outage = self._time.now() - self._lost_since
+        if not self._state.has_outage_ended_since(self._lost_since):
+            # Otherwise another node has reached the store before this one.
+            self._state.note_outage_end()
         self._lost_since = None
-        self._state.note_outage_end()
         self._log.record("store.regained", away_ms=round(outage.value))
