Note the end of an outage only if no node has heard from the store

Each node that it served again told the fleet that an outage had ended, so all nodes kept targets whose entries had been removed, as if these had lapsed. Change: a node that learned from others within the last second what the store has is not at the end of an outage. Result: test_a_node_that_alone_lost_the_store_keeps_no_target_that_has_gone failed before and passes; the three older tests of outages pass.

--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -39,6 +39,9 @@
 # Part of the store's read rate that watches of the targets may use while each
 # of them returns immediately; the rest is for starts and other watches.
 _WATCH_RATE_PART = 0.5
+# If other nodes have heard from the store within this time, only this node has
+# lost it, and no entries have lapsed.
+_MIN_OUTAGE = clock.Milliseconds(1000)
 _MIN_BACKOFF = clock.Milliseconds(150)
 _MAX_BACKOFF = clock.Milliseconds(2000)
 
@@ -248,12 +251,15 @@
         self._pool.close_idle()
 
     def _record_answer(self) -> None:
+        store_age = self._duty.store_age
         self._duty.note_store_answer()
         if self._lost_since is None:
             return
         outage = self._time.now() - self._lost_since
-        if not self._state.has_outage_ended_since(self._lost_since):
-            # Otherwise another node has reached the store before this one.
+        # The store may have served other nodes all the while, or one of them
+        # has reached it before this one.
+        is_first = not self._state.has_outage_ended_since(self._lost_since)
+        if is_first and (store_age is None or store_age >= _MIN_OUTAGE):
             self._state.note_outage_end()
         self._lost_since = None
         self._log.record("store.regained", away_ms=round(outage.value))
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -24,6 +24,7 @@
 @contextlib.asynccontextmanager
 async def _run_reader(
     reads_per_second: float = 1000.0,
+    duty: store_duty.StoreDuty | None = None,
 ) -> AsyncIterator[tuple[fake_store.FakeStore, published.PublishedState]]:
     """Run a reader on a store with one target of the service ``meter``."""
     log = builders.build_log()
@@ -46,7 +47,7 @@
             random.Random(1),
             log,
             metrics.Metrics(),
-            store_duty.StoreDuty(time, builders.LOOPBACK),
+            duty or store_duty.StoreDuty(time, builders.LOOPBACK),
         )
     )
     task = asyncio.create_task(reader.watch_targets())
@@ -109,6 +110,36 @@
     asyncio.run(remove())
 
 
+def test_a_node_that_alone_lost_the_store_keeps_no_target_that_has_gone():
+    """Guards against targets in use that left while others saw the store.
+
+    The store turns some nodes away and serves the others, so no entries lapse.
+    """
+
+    async def remove_while_turned_away() -> None:
+        duty = store_duty.StoreDuty(clock.SystemClock(), builders.LOOPBACK)
+        async with _run_reader(duty=duty) as (store, state):
+            store.mode = "refusing"
+            # A change completes the open watch; the next one is refused.
+            store.put(
+                "servers/i-2",
+                platform_builders.build_target_value(address="127.0.0.3:80"),
+            )
+            for _ in range(15):
+                await asyncio.sleep(0.1)
+                duty.note_contact(clock.Milliseconds(50))
+            store.remove("servers/i-1")
+            loop = asyncio.get_running_loop()
+            store.mode = "up"
+            restored_at = loop.time()
+            while await _has_target(state):
+                duty.note_contact(clock.Milliseconds(50))
+                await asyncio.sleep(0.02)
+                assert loop.time() - restored_at < 1.9
+
+    asyncio.run(remove_while_turned_away())
+
+
 def test_watches_of_many_nodes_stay_below_the_rate_of_the_store():
     # While targets change continuously, each watch returns immediately; with
     # one read a second for all nodes, a single node uses half of it.
