Name the turns of the event loop the same everywhere

Cause: reading the change again: turns were also called rounds, a closure stood where functools.partial does, and the check for paused targets stood twice. Change: wording and structure only. Result: test_event_loops, test_target_balancer, test_frontend: 27 passed.

--- a/cyclamenwell/routing/target_balancer.py
+++ b/cyclamenwell/routing/target_balancer.py
@@ -147,8 +147,9 @@
         usable = [
             entry
             for entry in self._draw_candidates(entries)
-            if self._is_free(entry, now, saturated)
-            and _is_usable(entry, data_centres_out, tried)
+            if _is_usable(entry, data_centres_out, tried)
+            and entry.target_id not in saturated
+            and not self._is_paused(entry, now)
         ]
         if not usable:
             usable = self._list_usable(
@@ -178,25 +179,13 @@
             for entry in entries
             if _is_usable(entry, data_centres_out, tried)
         ]
-        unpaused = [
-            entry
-            for entry in usable
-            if self._find_record(entry.target_id).paused_until.value <= now
-        ]
+        unpaused = [e for e in usable if not self._is_paused(e, now)]
         if not unpaused:
             return usable
         return [e for e in unpaused if e.target_id not in saturated]
 
-    def _is_free(
-        self,
-        entry: deployment.TargetEntry,
-        now: float,
-        saturated: Collection[str],
-    ) -> bool:
-        """Return whether a target is neither paused nor saturated."""
-        if entry.target_id in saturated:
-            return False
-        return self._find_record(entry.target_id).paused_until.value <= now
+    def _is_paused(self, entry: deployment.TargetEntry, now: float) -> bool:
+        return self._find_record(entry.target_id).paused_until.value > now
 
     def _draw_candidates(
         self, entries: Collection[deployment.TargetEntry]
--- a/cyclamenwell/sidecar/event_loops.py
+++ b/cyclamenwell/sidecar/event_loops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import math
 import select
 import selectors
@@ -13,7 +14,7 @@
 
 __all__ = ["build_loop"]
 
-# Rounds of ready callbacks that may run before the sockets are polled again.
+# Turns with ready callbacks that may pass before the sockets are polled again.
 _MAX_SKIPPED_POLLS = 6
 _MAX_EVENTS = 256
 # Errors and disconnections wake readers and writers, which then see them.
@@ -26,19 +27,18 @@
 
     Notes
     -----
-    The event loop polls the sockets before each round of callbacks. Most task
-    wake-ups form a round of their own, so most polls return nothing and are
-    skipped while callbacks are ready.
+    In each turn, the event loop polls the sockets and then runs the callbacks
+    that are ready. Most task wake-ups form a turn of their own, so most polls
+    return nothing and are skipped while callbacks are ready.
 
-    `asyncio` wraps each callback of a socket in a handle, which runs one round
-    later. Callbacks that were added with `set_callback` run during the poll, so
-    the tasks that they wake run in the same round, and a message takes one
-    round instead of four.
+    `asyncio` wraps each callback of a socket in a handle, which wakes a task
+    only for the next turn. Callbacks that were added with `set_callback` run
+    during the poll, so the tasks that they wake run in the same turn.
 
     Parameters
     ----------
     begin_turn : callable
-        Called at the beginning of each round.
+        Called at the beginning of each turn.
     """
 
     def __init__(self, begin_turn: Callable[[], object]) -> None:
@@ -197,7 +197,7 @@
     Parameters
     ----------
     begin_turn : callable
-        Called at the beginning of each round of callbacks.
+        Called at the beginning of each turn.
     """
 
     def __init__(self, begin_turn: Callable[[], object]) -> None:
@@ -238,11 +238,7 @@
         args: tuple[Any, ...],
     ) -> bool:
         if callback is not None and args:
-            function = callback
-
-            def callback() -> object:
-                return function(*args)
-
+            callback = functools.partial(callback, *args)
         return self._stream_selector.set_callback(
             _find_descriptor(fd), is_writer=is_writer, callback=callback
         )
