--- a/cyclamenwell/routing/host_routes.py
+++ b/cyclamenwell/routing/host_routes.py
@@ -8,7 +8,7 @@
 
 
 class HostTable:
-    """Lookup table of the routes, keys and services of a configuration.
+    """Lookup table of the routes and keys of a configuration.
 
     Parameters
     ----------
@@ -28,9 +28,6 @@
             for organisation in configuration.organisations
             for key in organisation.keys
         }
-        self.services = {
-            service.name: service for service in configuration.services
-        }
 
     def find_route(self, host: str, path: str) -> deployment.Route | None:
         """Return the route of a host with the longest prefix of a path."""
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -78,7 +78,8 @@
         self._time = time
         self._log = log
         self._peer_connections = 0  # Accepted since the start.
-        self._fleet_hosts: tuple[str, ...] = ()  # Set in `duty`.
+        # Hosts for which `StoreDuty` has chosen the readers last.
+        self._fleet_hosts: tuple[str, ...] = ()
         self._must_stop = asyncio.Event()
         self._must_reload = asyncio.Event()
         self._state = published.PublishedState(
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -581,3 +581,31 @@
             return
         await asyncio.sleep(_POLL_SECONDS)
     raise AssertionError(f"condition not met in {_TIMEOUT}: {description}")
+
+
+def run_fleet(
+    folder: pathlib.Path,
+    services: tuple[str, ...],
+    scenario: Callable[[Fleet], Coroutine[Any, Any, None]],
+) -> None:
+    """Run a scenario with a fleet whose nodes are ready.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder for settings and logs.
+    services : tuple of str
+        Service of the target of each machine.
+    scenario : callable
+        Is given the fleet.
+    """
+
+    async def run() -> None:
+        fleet = Fleet(folder, services)
+        fleet.publish()
+        async with fleet.run():
+            for machine in fleet.machines:
+                await fleet.wait_ready(machine)
+            await scenario(fleet)
+
+    asyncio.run(run())
--- a/cyclamenwell/sidecar/tests/test_large_fleet.py
+++ b/cyclamenwell/sidecar/tests/test_large_fleet.py
@@ -65,15 +65,7 @@
         assert calls <= 3 * 2 * (len(SERVICES) - LEARNERS)
         assert await has_learners(fleet)
 
-    async def run_scenario():
-        fleet = builders.Fleet(tmp_path, SERVICES)
-        fleet.publish()
-        async with fleet.run():
-            for machine in fleet.machines:
-                await fleet.wait_ready(machine)
-            await scenario(fleet)
-
-    asyncio.run(run_scenario())
+    builders.run_fleet(tmp_path, SERVICES, scenario)
 
 
 def test_a_restarted_node_uses_nothing_from_a_stale_read(tmp_path):
@@ -102,15 +94,7 @@
             assert answer.status == 200
         assert len(leaver.target.runs) == runs
 
-    async def run_scenario():
-        fleet = builders.Fleet(tmp_path, ("desk", *("meter",) * 10))
-        fleet.publish()
-        async with fleet.run():
-            for machine in fleet.machines:
-                await fleet.wait_ready(machine)
-            await scenario(fleet)
-
-    asyncio.run(run_scenario())
+    builders.run_fleet(tmp_path, ("desk", *("meter",) * 10), scenario)
 
 
 def test_a_restarted_node_serves_soon_without_full_reads(tmp_path):
@@ -131,12 +115,4 @@
         assert not fleet.store.full_reads
         assert await send(fleet, learner, "/read/1") == 200
 
-    async def run_scenario():
-        fleet = builders.Fleet(tmp_path, ("desk", *("meter",) * 11))
-        fleet.publish()
-        async with fleet.run():
-            for machine in fleet.machines:
-                await fleet.wait_ready(machine)
-            await scenario(fleet)
-
-    asyncio.run(run_scenario())
+    builders.run_fleet(tmp_path, ("desk", *("meter",) * 11), scenario)
--- a/cyclamenwell/sidecar/tests/test_malformed.py
+++ b/cyclamenwell/sidecar/tests/test_malformed.py
@@ -68,28 +68,23 @@
 def test_malformed_bytes_on_any_port_leave_the_node_serving(tmp_path, seed):
     """Guards against one malformed message that takes a process down."""
 
-    async def run_scenario():
-        fleet = builders.Fleet(tmp_path, ("desk", "meter"))
-        async with fleet.run():
-            fleet.publish()
-            for machine in fleet.machines:
-                await fleet.wait_ready(machine)
-            entry, other = fleet.machines
-            await asyncio.gather(
-                *(
-                    send(machine.host, port, data)
-                    for machine in (entry, other)
-                    for port in PORTS
-                    for data in list_malformed(seed)
-                )
+    async def scenario(fleet):
+        entry, other = fleet.machines
+        await asyncio.gather(
+            *(
+                send(machine.host, port, data)
+                for machine in (entry, other)
+                for port in PORTS
+                for data in list_malformed(seed)
             )
-            for number in range(5):
-                answer = await fleet.send_request(
-                    entry, request_id=f"after-{number}"
-                )
-                assert answer.status == 200, answer
-            for machine in fleet.machines:
-                assert machine.process.poll() is None
-                assert await fleet.is_ready(machine)
+        )
+        for number in range(5):
+            answer = await fleet.send_request(
+                entry, request_id=f"after-{number}"
+            )
+            assert answer.status == 200, answer
+        for machine in fleet.machines:
+            assert machine.process.poll() is None
+            assert await fleet.is_ready(machine)
 
-    asyncio.run(run_scenario())
+    builders.run_fleet(tmp_path, ("desk", "meter"), scenario)
--- a/cyclamenwell/sidecar/tests/test_processes.py
+++ b/cyclamenwell/sidecar/tests/test_processes.py
@@ -1,6 +1,7 @@
 """Tests of node processes with stand-ins for store, targets and callers."""
 
 import asyncio
+import functools
 import json
 import re
 import signal
@@ -14,19 +15,7 @@
 @pytest.fixture
 def run_fleet(tmp_path):
     """Return a function that runs a scenario with a fleet."""
-
-    def run(services, scenario):
-        async def run_scenario():
-            fleet = builders.Fleet(tmp_path, services)
-            fleet.publish()
-            async with fleet.run():
-                for machine in fleet.machines:
-                    await fleet.wait_ready(machine)
-                await scenario(fleet)
-
-        asyncio.run(run_scenario())
-
-    return run
+    return functools.partial(builders.run_fleet, tmp_path)
 
 
 def test_requests_reach_targets_of_other_machines(run_fleet):
