--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -489,6 +489,15 @@
         answer = await self._get(machine, READY_PORT, "/v1/ready")
         return answer is not None and answer.status == 200
 
+    async def find_readers(self) -> list[Machine]:
+        """Return the machines whose nodes read the store."""
+        texts = await asyncio.gather(*map(self.read_metrics, self.machines))
+        return [
+            machine
+            for machine, text in zip(self.machines, texts, strict=True)
+            if "cyclamenwell_sidecar_store_reader 1.0" in text
+        ]
+
     async def read_metrics(self, machine: Machine) -> str:
         """Return the metrics of a node."""
         answer = await self._get(machine, METRICS_PORT, "/metrics")
