Read the store 1.5 s after the last sign of any reader

What callers saw: requests routed by a configuration that had been replaced more than 2 s before, at nodes that were well, while the nodes that read the store for them were lost.

Cause: a node that does not read the store noticed the loss of the readers only if no node at all replied for 1.9 s, or when its knowledge was 12 s old. Any reply of another node that knew no more counted as contact, also one that had waited in a buffer while the process was suspended. And a round of exchanges waited for its slowest peer, up to 0.7 s for each hop of a change.

Change: replies carry the time since some reader was active, through any number of nodes, counted from the time of the question. What a node knows is at least as new as that, so after 1.5 s without a sign it reads for itself, whoever else replies. It asks a reader of its data centre every 0.35 s, at most 16 nodes the same one. Readers that are alive but do not reach the store are replaced after 4 s; their watches are shorter and spread, so that knowledge is that fresh without changes, too. Exchanges run in a task for each peer.

Four unit tests of the duty are new.

--- a/cyclamenwell/configuration/store_duty.py
+++ b/cyclamenwell/configuration/store_duty.py
@@ -4,13 +4,15 @@
 grow with the fleet, although all of them tell the same. A few nodes of each
 data centre read, and the others learn from them. Each node decides by itself,
 so that no agreement is needed: the readers are chosen by rendezvous hashing
-over the published targets, and a node that loses contact reads for itself.
+over the published targets. A node that has not heard from a reader for a
+bounded time reads for itself, so a change is seen also if all readers are lost.
 """
 
 from __future__ import annotations
 
 from collections.abc import Collection
 from collections.abc import Mapping
+from collections.abc import Sequence
 import math
 
 from cyclamenwell import clock
@@ -24,17 +26,20 @@
 # Readers in each data centre at least, so that the loss of one is borne.
 _MIN_READERS_PER_DATA_CENTRE = 2
 _PURPOSE = "store-reader"
-# A node without contact to another node for this time reads for itself. A
-# change made at the moment of a cut then still arrives within the two seconds
-# in which a configuration has to come into force.
-_MAX_ISOLATION = clock.Milliseconds(1900)
-# The longest watch, a pause after it and a margin: older knowledge means that
-# the readers do not reach the store.
-_MAX_STORE_AGE = clock.Milliseconds(12_000)
-# Nodes that replace the readers begin in the order of their hashes, twice as
+# A node that has heard from no reader for this time reads for itself. A change
+# made just after the loss of the readers then still arrives within the two
+# seconds in which a configuration has to come into force.
+_MAX_READER_SILENCE = clock.Milliseconds(1500)
+# The watches of the readers end more often than this, also without changes:
+# older knowledge means that the readers are alive but do not reach the store.
+_MAX_STORE_AGE = clock.Milliseconds(4000)
+# Nodes that replace such readers begin in the order of their hashes, twice as
 # many after each such time, so that a store that returns is not flooded.
 _TAKEOVER_STEP = clock.Milliseconds(1500)
-_CHECK_INTERVAL = clock.Milliseconds(250)
+_CHECK_INTERVAL = clock.Milliseconds(100)
+# Nodes of a data centre that learn from one and the same node. With more of
+# them than the readers can serve, the others learn from those.
+_MAX_FOLLOWERS = 16
 
 
 def count_readers(data_centres: int) -> int:
@@ -67,12 +72,18 @@
         # known there: nobody tells it anything then.
         self._position: int | None = None
         self._readers_per_data_centre = 1
-        self._last_contact = time.now()
+        # The latest time at which some reader was active, as far as known. A
+        # starting node waits as long as one that has just heard from a reader.
+        self._last_reader_activity = time.now()
+        self._has_heard_reader = False
         self._last_confirmation: clock.Milliseconds | None = None
+        self._last_answer: clock.Milliseconds | None = None
         self.readers = 1
         self.has_learners = False
         # Hosts of the readers in the data centre of this node, without itself.
         self.near_readers: tuple[str, ...] = ()
+        # Hosts in the data centre to learn from, the preferred one first.
+        self.sources: tuple[str, ...] = ()
 
     @property
     def is_chosen(self) -> bool:
@@ -86,7 +97,7 @@
         """Whether the node has to read the store now."""
         if self.is_chosen:
             return True
-        if self._time.now() - self._last_contact > _MAX_ISOLATION:
+        if self.reader_silence > _MAX_READER_SILENCE:
             return True
         age = self.store_age
         return age is None or age > self._find_takeover_age()
@@ -107,6 +118,24 @@
         age = self.store_age
         return None if age is None else age.value
 
+    @property
+    def reader_age_ms(self) -> float | None:
+        """Milliseconds since some reader was active, None if not known.
+
+        A node that reads in place of others counts as a reader only while the
+        store answers it, since it may be cut off from more than the readers.
+        """
+        if self.is_chosen or (self.is_reader and self._has_recent_answer()):
+            return 0.0
+        if not self._has_heard_reader:
+            return None
+        return self.reader_silence.value
+
+    @property
+    def reader_silence(self) -> clock.Milliseconds:
+        """Time since some reader was active, as far as this node knows."""
+        return self._time.now() - self._last_reader_activity
+
     @property
     def check_interval(self) -> clock.Milliseconds:
         """Time after which a node without duty checks again."""
@@ -123,6 +152,7 @@
         self.has_learners = any(size > count for size in sizes)
         self._position = None
         self.near_readers = ()
+        self.sources = ()
         for hosts in hosts_by_data_centre.values():
             if self._host not in hosts:
                 continue
@@ -131,30 +161,62 @@
             self.near_readers = tuple(
                 host for host in ordered[:count] if host != self._host
             )
+            self.sources = self._list_sources(ordered)
 
     def note_store_answer(self) -> None:
         """Note that the store has confirmed the node's knowledge."""
-        self._last_confirmation = self._time.now()
+        self._last_answer = self._last_confirmation = self._time.now()
 
-    def note_contact(self, store_age: clock.Milliseconds | None) -> None:
-        """Note an exchange with another node.
+    def note_contact(
+        self,
+        store_age: clock.Milliseconds | None,
+        reader_age: clock.Milliseconds | None,
+        asked_at: clock.Milliseconds,
+    ) -> None:
+        """Note a reply of another node whose knowledge this node now shares.
 
         Parameters
         ----------
         store_age : clock.Milliseconds or None
-            Age of the other node's knowledge, which this node now shares. None
-            if the store has not confirmed it.
+            Age of the other node's knowledge. None if the store has not
+            confirmed it.
+        reader_age : clock.Milliseconds or None
+            Time since some reader was active, None if not known there.
+        asked_at : clock.Milliseconds
+            Time at which the other node was asked. Both ages count from then,
+            since a reply may have waited while this process was suspended.
         """
-        self._last_contact = self._time.now()
+        if reader_age is not None:
+            self._has_heard_reader = True
+            self._last_reader_activity = max(
+                self._last_reader_activity, asked_at - reader_age
+            )
         if store_age is None:
             return
-        confirmation = self._time.now() - store_age
+        confirmation = asked_at - store_age
         if (
             self._last_confirmation is None
             or confirmation > self._last_confirmation
         ):
             self._last_confirmation = confirmation
 
+    def _has_recent_answer(self) -> bool:
+        if self._last_answer is None:
+            return False
+        return self._time.now() - self._last_answer <= _MAX_STORE_AGE
+
+    def _list_sources(self, ordered: Sequence[str]) -> tuple[str, ...]:
+        """Return the hosts to learn from, of the hosts of a data centre."""
+        readers = self._readers_per_data_centre
+        followers_before = self._position - readers
+        if followers_before < 0:
+            return ()
+        followers = len(ordered) - readers
+        asked = max(readers, math.ceil(followers / _MAX_FOLLOWERS))
+        preferred = ordered[followers_before % asked]
+        others = [host for host in self.near_readers if host != preferred]
+        return (preferred, *others)
+
     def _find_takeover_age(self) -> clock.Milliseconds:
         """Return the age of its knowledge at which the node begins to read."""
         rounds = math.log2((self._position + 1) / self._readers_per_data_centre)
--- a/cyclamenwell/configuration/tests/test_store_duty.py
+++ b/cyclamenwell/configuration/tests/test_store_duty.py
@@ -14,11 +14,16 @@
     }
 
 
+def hear(time, duty, store_age=clock.ZERO, reader_age=clock.ZERO):
+    """Let a node hear from another one that has just replied."""
+    duty.note_contact(store_age, reader_age, time.now())
+
+
 def build_duty(time, host, fleet):
     """Return the duty of a node that has just heard from another one."""
     duty = store_duty.StoreDuty(time, host)
     duty.set_fleet(fleet)
-    duty.note_contact(clock.ZERO)
+    hear(time, duty)
     return duty
 
 
@@ -76,11 +81,11 @@
     duty = build_learner(time)
     for _ in range(10):
         time.advance(clock.Milliseconds(1000))
-        duty.note_contact(clock.ZERO)
+        hear(time, duty)
         assert not duty.is_reader
     time.advance(clock.Milliseconds(2000))
     assert duty.is_reader
-    duty.note_contact(clock.ZERO)
+    hear(time, duty)
     assert not duty.is_reader
 
 
@@ -90,7 +95,7 @@
     duty = build_learner(time)
     for second in range(30):
         time.advance(clock.Milliseconds(1000))
-        duty.note_contact(clock.Milliseconds(second * 1000.0))
+        hear(time, duty, clock.Milliseconds(second * 1000.0))
     assert duty.is_reader
     duty.note_store_answer()
     assert not duty.is_reader
@@ -107,7 +112,7 @@
     for second in range(30):
         time.advance(clock.Milliseconds(1000))
         for duty in duties:
-            duty.note_contact(clock.Milliseconds((second + 1) * 1000.0))
+            hear(time, duty, clock.Milliseconds((second + 1) * 1000.0))
         numbers.append(sum(duty.is_reader for duty in duties))
     assert numbers[0] == 12
     assert numbers[-1] == len(hosts)
@@ -121,7 +126,7 @@
     duty = store_duty.StoreDuty(time, "10.9.9.9")
     assert duty.is_reader
     duty.set_fleet(build_fleet(30, 30))
-    duty.note_contact(clock.ZERO)
+    hear(time, duty)
     assert duty.is_reader
 
 
@@ -132,6 +137,54 @@
     host = next(iter(fleet["dc-0"] - list_readers(fleet)))
     duty = store_duty.StoreDuty(time, host)
     duty.set_fleet(fleet)
-    duty.note_contact(None)
+    hear(time, duty, None)
     assert duty.store_age is None
     assert duty.is_reader
+
+
+def test_a_node_reads_for_itself_although_it_hears_from_other_learners():
+    """Guards against nodes that wait for readers which are all lost."""
+    time = clock.ManualClock()
+    duty = build_learner(time)
+    for step in range(1, 17):
+        time.advance(clock.Milliseconds(100))
+        lost_for = clock.Milliseconds(step * 100.0)
+        hear(time, duty, store_age=lost_for, reader_age=lost_for)
+    assert duty.is_reader
+    hear(time, duty)
+    assert not duty.is_reader
+
+
+def test_a_reply_counts_from_the_time_at_which_it_was_asked_for():
+    """Guards against old replies that a resumed process takes for new ones."""
+    time = clock.ManualClock()
+    duty = build_learner(time)
+    asked_at = time.now()
+    time.advance(clock.Milliseconds(5000))
+    duty.note_contact(clock.ZERO, clock.ZERO, asked_at)
+    assert duty.is_reader
+
+
+def test_a_node_that_the_store_does_not_answer_vouches_for_no_reader():
+    """Guards against nodes that are cut off and take each other for readers."""
+    time = clock.ManualClock()
+    duty = build_learner(time)
+    time.advance(clock.Milliseconds(1600))
+    assert duty.is_reader
+    assert duty.reader_age_ms == 1600.0
+    duty.note_store_answer()
+    assert duty.reader_age_ms == 0.0
+
+
+def test_few_nodes_learn_from_the_same_one():
+    """Guards against readers that thousands of nodes ask at the same time."""
+    time = clock.ManualClock()
+    fleet = build_fleet(200, 200)
+    followers = {}
+    for host in fleet["dc-0"]:
+        sources = build_duty(time, host, fleet).sources
+        assert host not in sources
+        for source in sources[:1]:
+            followers.setdefault(source, []).append(host)
+    assert max(map(len, followers.values())) <= 16
+    assert len(set().union(*followers.values())) == 196
--- a/cyclamenwell/sidecar/gossip.py
+++ b/cyclamenwell/sidecar/gossip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -16,6 +17,9 @@
 # With one exchange a second, a node that missed a change is found within the
 # two seconds that a configuration may take to reach all nodes.
 _INTERVAL = clock.Milliseconds(1000)
+# A node that does not read the store asks one that does this often. Two of them
+# can then fail to reply before it has to read for itself.
+_FOLLOW_INTERVAL = clock.Milliseconds(350)
 # A starting node waits for others that confirm what it has read.
 _STARTUP_INTERVAL = clock.Milliseconds(60)
 _REPLY_TIMEOUT = clock.Milliseconds(400)
@@ -23,7 +27,7 @@
 _FANOUT = 3
 # Changes of targets within this time are told in one exchange.
 _TARGET_INTERVAL = clock.Milliseconds(200)
-# Pause before another peer is asked after all exchanges of a round failed.
+# Pause before another peer is asked after one that did not reply.
 _RETRY_PAUSE = clock.Milliseconds(100)
 
 
@@ -42,16 +46,18 @@
         self, context: contexts.NodeContext, links: peers.LinkPool
     ) -> None:
         self._settings = context.settings
+        self._time = context.time
         self._state = context.state
         self._links = links
         self._random = context.generator
         self._log = context.log
         self._metrics = context.metrics
+        # Peers with which to exchange state, and the tasks that do so.
         self._pending: set[str] = set()
+        self._exchanges: dict[str, asyncio.Task] = {}
         self._known_hosts: set[str] = set()
         # Hosts of the published targets by the keys of their items.
         self._hosts_by_key: dict[str, str] = {}
-        self._has_pending = asyncio.Event()
         self._announced_revision = 0
         self._announced_target_revision = 0
         self._is_target_push_due = False
@@ -67,10 +73,7 @@
             or message.target_revision > self._state.targets.change_revision
         )
         if is_ahead:
-            self._pending.add(message.host)
-            self._has_pending.set()
-        elif message.store_age_ms is not None and self._state.is_complete:
-            self._duty.note_contact(clock.Milliseconds(message.store_age_ms))
+            self._schedule([message.host])
 
     def notify_peers(self, changes: list[deployment.PublishedItem]) -> None:
         """Notify random peers of changes.
@@ -89,9 +92,7 @@
         if not self._duty.has_learners:
             return
         if self._duty.is_reader:
-            self._pending.update(leaving_hosts)
-        if self._pending:
-            self._has_pending.set()
+            self._schedule(leaving_hosts)
         revision = self._state.targets.change_revision
         if revision > self._announced_target_revision:
             self._announced_target_revision = revision
@@ -101,13 +102,12 @@
         """Schedule exchanges with random peers."""
         hosts = self._list_peers()
         count = min(_FANOUT, len(hosts))
-        self._pending.update(self._random.sample(hosts, count))
-        self._has_pending.set()
+        self._schedule(self._random.sample(hosts, count))
 
     def _add_confirming_peers(self) -> None:
         """Schedule exchanges with nodes that read the store."""
-        self._pending.update(self._duty.near_readers)
-        self._add_random_peer()
+        self._schedule(self._duty.near_readers)
+        self._schedule(self._choose_peer())
 
     def _schedule_target_push(self) -> None:
         if self._is_target_push_due:
@@ -138,35 +138,66 @@
         return leaving_hosts
 
     async def run(self) -> None:
-        """Exchange state with peers until cancelled."""
+        """Exchange state with random peers until cancelled."""
         while True:
             interval = _INTERVAL
             if not self._state.is_complete:
                 interval = _STARTUP_INTERVAL
             jittered = interval * self._random.uniform(0.8, 1.2)
-            try:
-                async with asyncio.timeout(jittered.seconds):
-                    await self._has_pending.wait()
-            except TimeoutError:
-                if self._state.is_complete:
-                    self._add_random_peer()
-                else:
-                    self._add_confirming_peers()
-            self._has_pending.clear()
-            pending, self._pending = self._pending, set()
-            results = await asyncio.gather(
-                *(self._exchange(host) for host in pending)
-            )
-            if results and not any(results):
-                # Isolation has to be noticed within two seconds.
-                await asyncio.sleep(_RETRY_PAUSE.seconds)
-                self._add_random_peer()
+            await asyncio.sleep(jittered.seconds)
+            if not self._state.is_complete:
+                self._add_confirming_peers()
+                continue
+            for host in self._choose_peer():
+                if not await self._exchange(host):
+                    await asyncio.sleep(_RETRY_PAUSE.seconds)
+                    self._schedule(self._choose_peer())
+
+    async def follow_source(self) -> None:
+        """Ask a node that reads the store for changes, until cancelled.
+
+        One that does not reply is replaced by the next one.
+        """
+        failures = 0
+        while True:
+            sources = self._duty.sources
+            if sources and self._state.is_complete:
+                source = sources[failures % len(sources)]
+                if not await self._exchange(source):
+                    failures += 1
+                    await asyncio.sleep(_RETRY_PAUSE.seconds)
+                    continue
+            jittered = _FOLLOW_INTERVAL * self._random.uniform(0.8, 1.2)
+            await asyncio.sleep(jittered.seconds)
+
+    def _schedule(self, hosts: Iterable[str]) -> None:
+        """Exchange state with peers soon, with each in a task of its own.
 
-    def _add_random_peer(self) -> None:
+        A peer that does not reply delays no exchange with another one.
+        """
+        loop = asyncio.get_running_loop()
+        for host in hosts:
+            self._pending.add(host)
+            if host not in self._exchanges:
+                task = loop.create_task(self._run_exchanges(host))
+                self._exchanges[host] = task
+
+    async def _run_exchanges(self, host: str) -> None:
+        """Exchange state with a peer until no further exchange is pending."""
+        try:
+            while host in self._pending:
+                self._pending.discard(host)
+                await self._exchange(host)
+        except Exception as error:
+            self._log.record_exception("exchange.error", error)
+        finally:
+            self._pending.discard(host)
+            del self._exchanges[host]
+
+    def _choose_peer(self) -> list[str]:
+        """Return a random peer, empty if no peer is known."""
         peer_hosts = self._list_peers()
-        if peer_hosts:
-            self._pending.add(self._random.choice(peer_hosts))
-            self._has_pending.set()
+        return [self._random.choice(peer_hosts)] if peer_hosts else []
 
     def _list_peers(self) -> list[str]:
         """Return the hosts of the peers: published, or else seeds and known."""
@@ -186,6 +217,7 @@
     async def _exchange(self, host: str) -> bool:
         """Exchange state with a peer; return whether it answered."""
         state = self._state
+        asked_at = self._time.now()
         message = deployment.StateExchange(
             host=self._settings.host,
             operator_revision=state.operators.change_revision,
@@ -223,6 +255,14 @@
             )
             state.apply_targets(reply.target_changes)
         if reply.store_age_ms is not None:
-            self._duty.note_contact(clock.Milliseconds(reply.store_age_ms))
             self._confirm(host)
+        self._duty.note_contact(
+            _read_age(reply.store_age_ms),
+            _read_age(reply.reader_age_ms),
+            asked_at,
+        )
         return True
+
+
+def _read_age(age_ms: float | None) -> clock.Milliseconds | None:
+    return None if age_ms is None else clock.Milliseconds(age_ms)
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -186,6 +186,7 @@
             else None
         ),
         store_age_ms=node.duty.store_age_ms if state.is_complete else None,
+        reader_age_ms=node.duty.reader_age_ms if state.is_complete else None,
         since_outage_ms=(None if since_outage is None else since_outage.value),
     )
     node.gossip.record_exchange(message)
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -177,6 +177,7 @@
             self._store_reader.watch_operators,
             self._store_reader.watch_targets,
             self._node.gossip.run,
+            self._node.gossip.follow_source,
             self._node.executor.monitor_health,
             self._node.rate_limiter.run,
             self._watch_settings,
@@ -200,6 +201,10 @@
             "store_age_seconds",
             lambda: (self._duty.store_age or _UNKNOWN_AGE).seconds,
         )
+        metrics.add_gauge(
+            "reader_silence_seconds",
+            lambda: self._duty.reader_silence.seconds,
+        )
         metrics.add_gauge("store_reader", lambda: float(self._duty.is_reader))
 
     def _listen_operations(self) -> None:
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -23,9 +23,10 @@
 # A watch times out this long after its maximum wait.
 _WATCH_MARGIN = clock.Milliseconds(1500)
 # The answer to a watch may be lost, which a node notices at the end of the
-# watch.
-_OPERATOR_WATCH_WAIT = clock.Milliseconds(6_000)
+# watch. The waits are spread, as one change ends the watches of all readers.
+_OPERATOR_WATCH_WAIT = clock.Milliseconds(3_000)
 _TARGET_WATCH_WAIT = clock.Milliseconds(6_000)
+_WAIT_SPREAD = 0.6
 # Average pause of a lone reader between two watches of the targets: changes
 # within it arrive in one answer, and each call has a cost.
 _MIN_TARGET_PAUSE = clock.Milliseconds(600)
@@ -177,6 +178,7 @@
             "store.read_again",
             prefix=prefix,
             store_age_ms=self._duty.store_age_ms,
+            reader_silence_ms=self._duty.reader_silence.value,
         )
 
     def _find_target_pause(self) -> clock.Milliseconds:
@@ -220,6 +222,7 @@
         after: int,
         wait: clock.Milliseconds,
     ) -> deployment.PrefixChanges:
+        wait *= self._random.uniform(1.0 - _WAIT_SPREAD, 1.0 + _WAIT_SPREAD)
         path = store.build_watch_path(prefix, after, wait)
         status, body = await self._call("watch", path, wait + _WATCH_MARGIN)
         return store.decode_watch(status, body, after)
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -59,6 +59,12 @@
         store.stop()
 
 
+def _hear(duty: store_duty.StoreDuty) -> None:
+    """Let a node hear from another one whose knowledge is 50 ms old."""
+    asked_at = clock.SystemClock().now()
+    duty.note_contact(clock.Milliseconds(50), clock.ZERO, asked_at)
+
+
 async def _has_target(state: published.PublishedState) -> bool:
     return "i-1" in {e.target_id for e in state.list_targets("meter")}
 
@@ -127,13 +133,13 @@
             )
             for _ in range(15):
                 await asyncio.sleep(0.1)
-                duty.note_contact(clock.Milliseconds(50))
+                _hear(duty)
             store.remove("servers/i-1")
             loop = asyncio.get_running_loop()
             store.mode = "up"
             restored_at = loop.time()
             while await _has_target(state):
-                duty.note_contact(clock.Milliseconds(50))
+                _hear(duty)
                 await asyncio.sleep(0.02)
                 assert loop.time() - restored_at < 1.9
 
