Ask for changes after the revision up to which all are known

What callers would see: an old configuration, or targets that have left, at a node that does not read the store, for as long as it lives.

Cause: a node asked others for changes after its newest one. A list of several pages is complete up to the revision of its first page only, while its newest change may be on a later one; the reply then began behind the gap and was refused, each time. And a stale list counted as complete up to the newest item of any of its pages, although each page may show another time, so that a removal between two pages was never seen.

Change: nodes ask for changes after `known_revision`, the older of the two, and a stale list is complete up to the oldest of its pages. It needs lists of more than one page, so 500 targets or a megabyte, and is not the cause of what the users reported.

Evidence: both new tests fail on the code before (the first with `known_revision` as the newest change, as it was) and pass now.

--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -36,6 +36,15 @@
         self.revision = 0
         self.change_revision = 0
 
+    @property
+    def known_revision(self) -> int:
+        """Revision up to which all changes are known.
+
+        Peers list the changes after it. The newest change may be later: the
+        pages of a list show different revisions.
+        """
+        return min(self.revision, self.change_revision)
+
     @property
     def items(self) -> Iterable[deployment.PublishedItem]:
         """Items that are not removed."""
--- a/cyclamenwell/configuration/tests/test_published.py
+++ b/cyclamenwell/configuration/tests/test_published.py
@@ -50,6 +50,34 @@
     assert state.targets.revision == 10
 
 
+def test_changes_after_a_list_with_a_newer_page_are_applied(state, time):
+    """Guards against a node that refuses all later changes as a gap.
+
+    A list is complete up to the revision of its first page; items of later
+    pages may be newer.
+    """
+    state.apply_targets(
+        builders.list_all(
+            5, builders.build_target("i-1", 3), builders.build_target("i-2", 8)
+        )
+    )
+    peer = published.PublishedState(time, REAPPEARANCE)
+    peer.apply_targets(
+        builders.list_all(
+            9,
+            builders.build_target("i-1", 3),
+            builders.build_target("i-2", 8),
+            builders.build_target("i-3", 7),
+        )
+    )
+    peer.apply_targets(
+        builders.list_after(9, 10, builders.build_removal("i-2", 10))
+    )
+    changes = peer.targets.list_changes(state.targets.known_revision)
+    state.apply_targets(changes)
+    assert set(state.entries) == {"i-1", "i-3"}
+
+
 def test_a_removed_target_does_not_come_back_from_an_older_list(state):
     """Guards against requests to a target that a stale peer still lists."""
     state.apply_targets(builders.list_all(10, builders.build_target("i-1", 4)))
--- a/cyclamenwell/platform/tests/fake_store.py
+++ b/cyclamenwell/platform/tests/fake_store.py
@@ -61,6 +61,7 @@
         self.reads = 0
         self.full_reads = 0  # Of all items of a prefix, not serializable.
         self._stale_items: dict[str, _Item] | None = None
+        self._stale_pages: int | None = None
 
     @property
     def port(self) -> int:
@@ -85,9 +86,16 @@
         if key in self._items:
             self._write(key, None)
 
-    def hold_stale_reads(self) -> None:
-        """Let serializable reads return the present items from now on."""
+    def hold_stale_reads(self, pages: int | None = None) -> None:
+        """Let serializable reads return the present items from now on.
+
+        Parameters
+        ----------
+        pages : int, optional
+            Number of pages that do so, by default all.
+        """
         self._stale_items = dict(self._items)
+        self._stale_pages = pages
 
     def forget_history(self) -> None:
         """Discard the history, so that watches after older revisions fail."""
@@ -139,7 +147,7 @@
             if "serializable" not in query:
                 self.full_reads += 1
             elif self._stale_items is not None:
-                items = self._stale_items
+                items = self._take_stale_items()
             return 200, self._read_range(
                 items, query["prefix"], query.get("after", "")
             )
@@ -147,6 +155,13 @@
             query["prefix"], int(query["after"]), int(query["wait_ms"])
         )
 
+    def _take_stale_items(self) -> dict[str, _Item]:
+        """Return the items for the next serializable read."""
+        if self._stale_pages is None:
+            return self._stale_items
+        self._stale_pages -= 1
+        return self._items if self._stale_pages < 0 else self._stale_items
+
     def _read_range(
         self, items: dict[str, _Item], prefix: str, after: str
     ) -> dict[str, Any]:
--- a/cyclamenwell/sidecar/gossip.py
+++ b/cyclamenwell/sidecar/gossip.py
@@ -220,8 +220,8 @@
         asked_at = self._time.now()
         message = deployment.StateExchange(
             host=self._settings.host,
-            operator_revision=state.operators.change_revision,
-            target_revision=state.targets.change_revision,
+            operator_revision=state.operators.known_revision,
+            target_revision=state.targets.known_revision,
             store_age_ms=(
                 self._duty.store_age_ms if state.is_complete else None
             ),
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -194,26 +194,27 @@
     async def _list_all(
         self, prefix: str, may_be_stale: bool = False
     ) -> deployment.PrefixChanges:
-        """Return all items, at the revision of the first page.
+        """Return all items, at the revision of the oldest page.
 
-        Later pages may be newer. Which revision a stale page shows is not
-        known, so its newest item decides: later changes are read again.
+        Which revision a stale page shows is not known, so its newest item
+        decides: later changes are read again.
         """
         after = ""
         items: list[deployment.PublishedItem] = []
-        revision = -1
+        revisions: list[int] = []
         kind = "stale_range" if may_be_stale else "range"
         while True:
             path = store.build_range_path(prefix, after, may_be_stale)
             status, body = await self._call(kind, path, _READ_TIMEOUT)
             page, after = store.decode_range(status, body)
             items += page.items
-            if revision < 0:
-                revision = page.revision
+            if not may_be_stale:
+                revisions.append(page.revision)
+            elif page.items:
+                revisions.append(max(item.revision for item in page.items))
             if not after:
                 break
-        if may_be_stale:
-            revision = max((item.revision for item in items), default=0)
+        revision = min(revisions, default=0)
         return deployment.PrefixChanges(-1, revision, tuple(items))
 
     async def _watch(
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import random
 
@@ -25,13 +26,16 @@
 async def _run_reader(
     reads_per_second: float = 1000.0,
     duty: store_duty.StoreDuty | None = None,
+    page_size: int = 500,
+    prepare: Callable[[fake_store.FakeStore], object] = lambda store: None,
 ) -> AsyncIterator[tuple[fake_store.FakeStore, published.PublishedState]]:
     """Run a reader on a store with one target of the service ``meter``."""
     log = builders.build_log()
     time = clock.SystemClock()
-    store = fake_store.FakeStore(log)
+    store = fake_store.FakeStore(log, page_size)
     await store.start(builders.LOOPBACK)
     store.put("servers/i-1", platform_builders.build_target_value())
+    prepare(store)
     state = published.PublishedState(time, _REAPPEARANCE)
     settings = sidecar.SidecarSettings(
         store=sidecar.StoreSettings(
@@ -59,6 +63,17 @@
         store.stop()
 
 
+def _build_learner() -> store_duty.StoreDuty:
+    """Return the duty of a node that is not chosen to read the store."""
+    duty = store_duty.StoreDuty(clock.SystemClock(), builders.LOOPBACK)
+    others = (f"10.0.0.{number}" for number in range(1000))
+    hosts = {builders.LOOPBACK}
+    while duty.is_chosen:
+        hosts.add(next(others))
+        duty.set_fleet({"a": hosts})
+    return duty
+
+
 def _hear(duty: store_duty.StoreDuty) -> None:
     """Let a node hear from another one whose knowledge is 50 ms old."""
     asked_at = clock.SystemClock().now()
@@ -162,3 +177,32 @@
             assert store.reads - before <= 2
 
     asyncio.run(change_continuously())
+
+
+def test_a_change_between_two_pages_of_a_stale_list_is_read_again():
+    """Guards against a change that a list of several pages leaves out."""
+
+    def hold_pages(store: fake_store.FakeStore) -> None:
+        # The second page shows a newer state than the first one.
+        store.put(
+            "servers/i-0", platform_builders.build_target_value(address="a:1")
+        )
+        store.hold_stale_reads(pages=1)
+        store.remove("servers/i-0")
+        store.put("servers/i-1", platform_builders.build_target_value())
+
+    async def read_pages() -> None:
+        async with _run_reader(
+            duty=_build_learner(), page_size=1, prepare=hold_pages
+        ) as (_, state):
+            # Another node has nothing newer than the second page.
+            state.note_confirmation()
+
+            async def is_removed() -> bool:
+                return "i-0" not in {
+                    entry.target_id for entry in state.list_targets("meter")
+                }
+
+            await builders.wait_for(is_removed, "i-0 is removed")
+
+    asyncio.run(read_pages())
