Let the test of a list with a newer page fail without its fix

Its peer now has the history. Run again: it fails with the newest change (i-2 stays) and passes with `known_revision`.

--- a/cyclamenwell/configuration/tests/test_published.py
+++ b/cyclamenwell/configuration/tests/test_published.py
@@ -62,12 +62,13 @@
         )
     )
     peer = published.PublishedState(time, REAPPEARANCE)
+    peer.apply_targets(builders.list_all(4, builders.build_target("i-1", 3)))
     peer.apply_targets(
-        builders.list_all(
+        builders.list_after(
+            4,
             9,
-            builders.build_target("i-1", 3),
-            builders.build_target("i-2", 8),
             builders.build_target("i-3", 7),
+            builders.build_target("i-2", 8),
         )
     )
     peer.apply_targets(
