Let an entry of the store that is out of range cost itself alone

What callers would see: a node that no longer follows the list of targets, or the configuration, while one odd entry of another writer is in the store.

Cause: a number like 10^400 raises OverflowError, which was not among the errors of decoding, so the whole answer of the store failed, again and again. Ports above 65535, infinite times, 10^300 slots and lone surrogates were taken as they are; no message to another node can carry the last two, so each exchange failed.

Change: one list of errors for entries and rows; every number is read with its range, hosts as IP addresses, texts only if they can be encoded; names in keys and reports are escaped. The entry is left out as before, the others hold.

Nesting and long digit strings were held before.

--- a/cyclamenwell/platform/decoder.py
+++ b/cyclamenwell/platform/decoder.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+import ipaddress
 import json
 from typing import Any
 from typing import TypeVar
@@ -33,7 +33,19 @@
 # Requests of a route that cannot be decoded are refused at once, so the value
 # only has to be valid.
 _UNREADABLE_ROUTE_TIMEOUT = clock.Milliseconds(1000)
-_DECODING_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+_DECODING_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+# Largest values that the messages between nodes carry.
+_MAX_INTEGER = 2**31 - 1
+_MAX_LONG = 2**63 - 1
+_MAX_NUMBER = 1e15
+_MAX_PORT = 65535
 # Length to which an entry is cut in the description of its rejection.
 _MAX_ENTRY_CHARACTERS = 60
 _Decoded = TypeVar("_Decoded")
@@ -61,6 +73,7 @@
     key, revision = raw.get("key"), raw.get("revision")
     if not isinstance(key, str) or not _is_integer(revision):
         raise exceptions.PlatformError(f"item has no key or no revision: {raw}")
+    key = _escape(key)
     if raw.get("tombstone"):
         return deployment.PublishedItem(key, revision, removed=True)
     if key.startswith(names.EVACUATION_PREFIX):
@@ -84,8 +97,22 @@
     return type(value) is int
 
 
-def _is_number(value: object) -> bool:
-    return type(value) in (int, float)
+def _read_integer(
+    value: Any, minimum: int = 0, maximum: int = _MAX_INTEGER
+) -> int:
+    """Return an integer, or raise ValueError if it is out of range."""
+    number = int(value)
+    if not minimum <= number <= maximum:
+        raise ValueError(f"must be from {minimum} to {maximum}")
+    return number
+
+
+def _read_number(value: Any) -> float:
+    """Return a number, or raise ValueError if it is out of range."""
+    number = float(value)
+    if not 0.0 <= number <= _MAX_NUMBER:  # Not a number compares as false.
+        raise ValueError(f"must be from 0 to {_MAX_NUMBER:g}")
+    return number
 
 
 def _load_value(raw: Mapping[str, Any]) -> Any:
@@ -101,43 +128,36 @@
     one entry does not prevent the decoding of the others.
     """
     try:
-        value = _load_value(raw)
-        info, status = value["info"], value["status"]
-        host, _, port = value["address"].rpartition(":")
-        born = value.get("born", 0)
-        is_readable = (
-            bool(host)
-            and all(
-                isinstance(info[name], str)
-                for name in ("service", "version", "zone")
-            )
-            and all(map(_is_integer, (info["slots"], status["seq"], born)))
-            and _is_number(status["cold_remaining_ms"])
-        )
-        if not is_readable or info["slots"] < 1:
-            return None
-        return deployment.TargetEntry(
-            target_id=target_id,
-            service=info["service"],
-            host=host,
-            port=int(port),
-            data_centre=info["zone"],
-            slots=info["slots"],
-            state=_INSTANCE_STATES[status["state"]],
-            cold_remaining_ms=float(status["cold_remaining_ms"]),
-            started_ms=born,
-        )
-    except (
-        AttributeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        binascii.Error,
-        RecursionError,
-    ):
+        return _decode_complete_target(target_id, _load_value(raw))
+    except _DECODING_ERRORS:
         return None
 
 
+def _decode_complete_target(
+    target_id: str, value: Mapping[str, Any]
+) -> deployment.TargetEntry:
+    info, status = value["info"], value["status"]
+    host, _, port = value["address"].rpartition(":")
+    born = value.get("born", 0)
+    if not all(map(_is_integer, (info["slots"], status["seq"], born))):
+        raise TypeError("slots, seq and born must be integers")
+    cold_remaining = status["cold_remaining_ms"]
+    if type(cold_remaining) not in (int, float):
+        raise TypeError("cold_remaining_ms must be a number")
+    _check_text(info["version"])
+    return deployment.TargetEntry(
+        target_id=target_id,
+        service=_check_text(info["service"]),
+        host=str(ipaddress.IPv4Address(host)),
+        port=_read_integer(port, 1, _MAX_PORT),
+        data_centre=_check_text(info["zone"]),
+        slots=_read_integer(info["slots"], 1),
+        state=_INSTANCE_STATES[status["state"]],
+        cold_remaining_ms=_read_number(cold_remaining),
+        started_ms=_read_integer(born, maximum=_MAX_LONG),
+    )
+
+
 def _decode_configuration(raw: Mapping[str, Any]) -> deployment.Configuration:
     """Decode a configuration.
 
@@ -149,7 +169,7 @@
         value = _load_value(raw)
         organisations = list(_read_rows(value, "tenants"))
         return deployment.Configuration(
-            version=int(value["version"], 16),
+            version=_read_integer(int(value["version"], 16), maximum=_MAX_LONG),
             routes=_decode_rows(
                 _read_rows(value, "routes"), _decode_route, rejected
             ),
@@ -163,7 +183,7 @@
             needs_keys=bool(organisations),
             rejected_entries=tuple(rejected),
         )
-    except (*_DECODING_ERRORS, RecursionError) as error:
+    except _DECODING_ERRORS as error:
         raise exceptions.PlatformError(
             f"cannot decode the configuration: {error!r}"
         ) from error
@@ -209,8 +229,13 @@
 
 
 def _describe_rejection(row: Mapping[str, Any], reason: object) -> str:
-    name = str(row.get("name"))[:_MAX_ENTRY_CHARACTERS]
-    return f"{name}: {str(reason)[:_MAX_ENTRY_CHARACTERS]}"
+    name = _escape(row.get("name"))[:_MAX_ENTRY_CHARACTERS]
+    return f"{name}: {_escape(reason)[:_MAX_ENTRY_CHARACTERS]}"
+
+
+def _escape(value: object) -> str:
+    """Return a text that messages can carry: lone surrogates are escaped."""
+    return str(value).encode(errors="backslashreplace").decode()
 
 
 def _decode_route(
@@ -225,8 +250,8 @@
         return _decode_complete_route(row, rejected)
     except _DECODING_ERRORS as error:
         refusing = deployment.Route(
-            name=str(row.get("name", "")),
-            host=row["host"].lower(),
+            name=_escape(row.get("name", "")),
+            host=_check_text(row["host"]).lower(),
             prefix=_check_text(row["prefix"]),
             timeout_ms=_UNREADABLE_ROUTE_TIMEOUT.value,
             objective_ms=_UNREADABLE_ROUTE_TIMEOUT.value,
@@ -238,6 +263,7 @@
 def _check_text(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError(f"got {value!r}, must be text")
+    value.encode()  # Lone surrogates fit into no message.
     return value
 
 
@@ -251,21 +277,24 @@
         rejected.append(_describe_rejection(row, f"unknown kind {kind!r}"))
     return deployment.Route(
         name=_check_text(row["name"]),
-        host=row["host"].lower(),
+        host=_check_text(row["host"]).lower(),
         prefix=_check_text(row["prefix"]),
         kind=_REQUEST_KINDS.get(
             str(kind), enumerations.RequestKind.NON_IDEMPOTENT
         ),
-        timeout_ms=float(row["timeout_ms"]),
-        objective_ms=float(row.get("target_latency_ms") or row["timeout_ms"]),
-        priority=int(row.get("priority", 0)),
+        timeout_ms=_read_number(row["timeout_ms"]),
+        objective_ms=_read_number(
+            row.get("target_latency_ms") or row["timeout_ms"]
+        ),
+        priority=_read_integer(row.get("priority", 0)),
         services=tuple(
             deployment.WeightedService(
-                _check_text(part["service"]), float(part.get("weight", 1))
+                _check_text(part["service"]),
+                _read_number(part.get("weight", 1)),
             )
             for part in parts
         ),
-        max_attempts=max(int(row.get("max_attempts", 1)), 1),
+        max_attempts=max(_read_integer(row.get("max_attempts", 1)), 1),
         is_public=bool(row.get("public", False)),
     )
 
@@ -277,9 +306,9 @@
     return deployment.ServiceInfo(
         name=_check_text(row["name"]),
         health_path=_check_text(row.get("health_path", "")),
-        max_connections=int(row.get("max_connections", 0)),
-        cold_start_ms=float(row.get("cold_start_s", 0)) * 1000.0,
-        cold_rate_per_second=float(row.get("cold_per_s", 0)),
+        max_connections=_read_integer(row.get("max_connections", 0)),
+        cold_start_ms=_read_number(row.get("cold_start_s", 0)) * 1000.0,
+        cold_rate_per_second=_read_number(row.get("cold_per_s", 0)),
     )
 
 
@@ -291,9 +320,9 @@
     return deployment.Organisation(
         name=_check_text(row["name"]),
         keys=tuple(map(_check_text, row.get("api_keys", ()))),
-        priority=None if priority is None else int(priority),
-        rate_per_second=float(row.get("rate_per_s", 0)),
-        burst=float(row.get("burst", 0)),
+        priority=None if priority is None else _read_integer(priority),
+        rate_per_second=_read_number(row.get("rate_per_s", 0)),
+        burst=_read_number(row.get("burst", 0)),
     )
 
 
@@ -312,14 +341,16 @@
 ) -> deployment.ClientLimits:
     default = deployment.ClientLimits()
     return deployment.ClientLimits(
-        max_header_bytes=int(
+        max_header_bytes=_read_integer(
             raw.get("max_header_bytes") or default.max_header_bytes
         ),
-        max_body_bytes=int(raw.get("max_body_bytes") or default.max_body_bytes),
-        header_timeout_ms=float(
+        max_body_bytes=_read_integer(
+            raw.get("max_body_bytes") or default.max_body_bytes
+        ),
+        header_timeout_ms=_read_number(
             raw.get("header_timeout_ms") or default.header_timeout_ms
         ),
-        idle_timeout_ms=float(
+        idle_timeout_ms=_read_number(
             raw.get("idle_timeout_ms") or default.idle_timeout_ms
         ),
     )
--- a/cyclamenwell/platform/tests/test_decoder.py
+++ b/cyclamenwell/platform/tests/test_decoder.py
@@ -1,10 +1,15 @@
 """Tests of the decoding of store items."""
 
+import json
+
 import pytest
 
 from cyclamenwell import exceptions
+from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
+from cyclamenwell.peers import codec
 from cyclamenwell.platform import decoder
+from cyclamenwell.platform import store
 from cyclamenwell.platform.tests import builders
 from cyclamenwell.routing import host_routes
 
@@ -85,6 +90,91 @@
     assert item.revision == 5
 
 
+def build_info(**changes):
+    """Return the fixed part of a target entry."""
+    values = {"service": "meter", "version": "v1", "zone": "a", "slots": 120}
+    return values | changes
+
+
+def build_status(**changes):
+    """Return the changing part of a target entry."""
+    return {"state": "ready", "seq": 4, "cold_remaining_ms": 250} | changes
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": "127.0.0.2:99999"},
+        {"address": "127.0.0.2:-1"},
+        {"address": "127.0.0.2:0"},
+        {"address": "nowhere.example:80"},
+        {"address": "127.0.0.\ud800:80"},
+        {"born": 10**400},
+        {"info": build_info(slots=10**300)},
+        {"info": build_info(service="\ud800")},
+        {"status": build_status(cold_remaining_ms=10**400)},
+        {"status": build_status(cold_remaining_ms=float("inf"))},
+        {"status": build_status(cold_remaining_ms=float("nan"))},
+        {"status": build_status(cold_remaining_ms=-1)},
+    ],
+)
+def test_an_entry_out_of_range_costs_only_itself(changes):
+    """Guards against one odd entry that stops a node from following the list.
+
+    What is decoded must also fit into the messages to other nodes.
+    """
+    items = [
+        builders.build_item(
+            "servers/i-odd", builders.build_target_value(**changes)
+        ),
+        builders.build_item("servers/i-1", builders.build_target_value()),
+        builders.build_item("servers/\ud800", builders.build_target_value()),
+    ]
+    body = json.dumps({"items": items, "store_revision": 5}).encode()
+    decoded, _ = store.decode_range(200, body)
+    odd, sound, _ = decoded.items
+    assert odd.target is None
+    assert sound.target.target_id == "i-1"
+    assert codec.Codec(deployment.WIRE_TYPES).encode(decoded)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [10**400, float("inf"), float("nan"), -1, "\ud800"],
+    ids=["huge", "infinite", "not-a-number", "negative", "surrogate"],
+)
+@pytest.mark.parametrize(
+    ("table", "column"),
+    [
+        ("routes", "name"),
+        ("routes", "timeout_ms"),
+        ("routes", "priority"),
+        ("services", "cold_start_s"),
+        ("services", "max_connections"),
+        ("tenants", "rate_per_s"),
+        ("tenants", "burst"),
+    ],
+)
+def test_a_row_out_of_range_costs_only_itself(table, column, value):
+    """Guards against one odd row that keeps all others out of force."""
+    configuration_value = builders.build_configuration_value()
+    columns = configuration_value[table]["columns"]
+    if column not in columns:
+        columns.append(column)
+        for row in configuration_value[table]["rows"]:
+            row.append(None)
+    configuration_value[table]["rows"][0][columns.index(column)] = value
+    item = decoder.decode_item(
+        builders.build_item("op/config", configuration_value)
+    )
+    codec_of_peers = codec.Codec(deployment.WIRE_TYPES)
+    reply = deployment.StateExchangeReply(
+        "10.0.0.1", 5, 5, deployment.PrefixChanges(-1, 5, (item,))
+    )
+    assert codec_of_peers.decode(codec_of_peers.encode(reply)) == reply
+    assert item.configuration.rejected_entries
+
+
 @pytest.mark.parametrize("value", ["%%%", "e30", "//79", ""])
 def test_bytes_that_are_not_json_are_decoded_without_target(value):
     """Guards against invalid bytes that stop the decoding of other entries."""
