Send nothing more to a target that says it leaves

What targets see: requests after they have said in an answer that they leave, for as long as their entry in the store counts as ready, which may be seconds or for ever.

Cause: the header that says so was not read; only the published state decided.

Change: the node beside the target refuses all offers once a target has said so, with LEAVING, which costs no arrival and no retry budget, and what waits there is refused as not run. Another start of the target at the same address, with the same identity, is used. An answer of another target at the address (421) says nothing about this one.

Evidence: test_a_target_that_says_it_leaves_gets_no_more_requests fails with the statements ignored and passes now.

--- a/cyclamenwell/platform/http_adapter.py
+++ b/cyclamenwell/platform/http_adapter.py
@@ -98,6 +98,8 @@
     named_rate : float or None
         Requests a second that the target takes from all callers together, None
         if it names no such limit.
+    is_leaving : bool
+        Whether the target says that it leaves.
     """
 
     answer: calls.HttpAnswer
@@ -109,6 +111,7 @@
     instance_id: str
     max_idle: clock.Milliseconds | None
     named_rate: float | None
+    is_leaving: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -218,6 +221,7 @@
         instance_id=values.get(names.INSTANCE_ID, ""),
         max_idle=_read_keep_alive(values.get("keep-alive", "")),
         named_rate=_read_rate(values.get(names.SERVER_LIMIT, "")),
+        is_leaving=values.get(names.SERVER_LEAVING) == "1",
     )
 
 
--- a/cyclamenwell/platform/names.py
+++ b/cyclamenwell/platform/names.py
@@ -15,6 +15,7 @@
     "REQUEST_ID",
     "RESPONSE_SEAL",
     "RETRY_AFTER",
+    "SERVER_LEAVING",
     "SERVER_LIMIT",
     "SETTINGS_VARIABLE",
     "TARGET_INSTANCE",
@@ -35,6 +36,7 @@
 REQUEST_ID = "request-id"
 RESPONSE_SEAL = "response-seal"
 RETRY_AFTER = "retry-after"
+SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
 TARGET_INSTANCE = "target-instance"
 TENANT = "tenant"
--- a/cyclamenwell/platform/tests/fake_target.py
+++ b/cyclamenwell/platform/tests/fake_target.py
@@ -153,6 +153,7 @@
             fields = [
                 (names.INSTANCE_ID, "i-other"),
                 (names.REQUEST_ID, request_id),
+                (names.SERVER_LEAVING, "1"),
             ]
             _send(stream, 421, fields, b"")
             return True
--- a/cyclamenwell/platform/tests/test_http_adapter.py
+++ b/cyclamenwell/platform/tests/test_http_adapter.py
@@ -31,3 +31,12 @@
 def test_only_a_decimal_number_names_a_limit(value, rate):
     """Guards against a target that is stopped or flooded by an odd value."""
     assert parse(("server-limit", value)).named_rate == rate
+
+
+def test_an_answer_without_statements_states_nothing():
+    """Guards against limits and departures that no target has stated."""
+    answer = parse(("request-id", "r"))
+    assert answer.named_rate is None
+    assert not answer.is_leaving
+    assert not parse(("server-leaving", "0")).is_leaving
+    assert parse(("server-leaving", "1")).is_leaving
--- a/cyclamenwell/routing/target_balancer.py
+++ b/cyclamenwell/routing/target_balancer.py
@@ -71,6 +71,8 @@
     outstanding: int = 0
     paused_until: clock.Milliseconds = clock.ZERO
     pause: clock.Milliseconds = clock.ZERO
+    # Start of the target that has said that it leaves, None for none.
+    leaving_start: int | None = None
 
 
 class TargetBalancer:
@@ -150,6 +152,7 @@
             if _is_usable(entry, data_centres_out, tried)
             and entry.target_id not in saturated
             and not self._is_paused(entry, now)
+            and not self._is_leaving(entry)
         ]
         if not usable:
             usable = self._list_usable(
@@ -178,6 +181,7 @@
             entry
             for entry in entries
             if _is_usable(entry, data_centres_out, tried)
+            and not self._is_leaving(entry)
         ]
         unpaused = [e for e in usable if not self._is_paused(e, now)]
         if not unpaused:
@@ -187,6 +191,10 @@
     def _is_paused(self, entry: deployment.TargetEntry, now: float) -> bool:
         return self._find_record(entry.target_id).paused_until.value > now
 
+    def _is_leaving(self, entry: deployment.TargetEntry) -> bool:
+        record = self._find_record(entry.target_id)
+        return record.leaving_start == entry.started_ms
+
     def _draw_candidates(
         self, entries: Collection[deployment.TargetEntry]
     ) -> Collection[deployment.TargetEntry]:
@@ -233,6 +241,8 @@
             return
         record = self._find_record(load.target_id)
         record.load = load
+        if load.is_leaving:
+            record.leaving_start = load.started_ms
         record.load_expiry = (self._time.now() + _LOAD_LIFETIME).value
 
     def note_answer(
--- a/cyclamenwell/routing/tests/test_target_balancer.py
+++ b/cyclamenwell/routing/tests/test_target_balancer.py
@@ -161,3 +161,21 @@
     balancer.note_load(deployment.TargetLoad("t-1", limit=10, is_cold=True))
     for _ in range(20):
         assert balancer.choose(entries, (), (), "read", 0) == entries[1]
+
+
+def test_a_target_that_says_it_leaves_gets_nothing_until_it_starts_anew():
+    """Guards against requests to a target that the platform still lists."""
+    time = clock.ManualClock()
+    balancer = target_balancer.TargetBalancer(
+        time, "t-0", "dc-1", random.Random(1)
+    )
+    entries = builders.build_entries(builders.build_targets(2, slots=10))
+    balancer.note_load(
+        deployment.TargetLoad("t-1", is_leaving=True, started_ms=0)
+    )
+    for _ in range(20):
+        chosen = balancer.choose(entries, (), (), "read", 0)
+        assert chosen.target_id == "t-2"
+    assert balancer.choose(entries[:1], (), (), "read", 0) is None
+    returned = dataclasses.replace(entries[0], started_ms=7)
+    assert balancer.choose((returned,), (), (), "read", 0) is returned
--- a/cyclamenwell/sidecar/admission_queue.py
+++ b/cyclamenwell/sidecar/admission_queue.py
@@ -115,6 +115,7 @@
         self,
         target_id: str,
         started_ms: int = 0,
+        is_leaving: bool = False,
     ) -> deployment.TargetLoad:
         """Return the current load of the target."""
         now = self._time.now()
@@ -125,6 +126,7 @@
             limit=self.slot_scheduler.limit,
             is_cold=self.slot_scheduler.is_cold(now),
             pace_wait_ms=self.slot_scheduler.find_pace_wait(now).value,
+            is_leaving=is_leaving,
             started_ms=started_ms,
         )
 
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -148,6 +148,8 @@
         self._services: dict[str, deployment.ServiceInfo] = {}
         self._services_of: deployment.Configuration | None = None
         self.is_leaving = False
+        # The target that says in its answers that it leaves.
+        self._leaving: _Incarnation | None = None
         self._must_probe = asyncio.Event()
         self._is_cold_known = False
         self._last_health_report = clock.ZERO
@@ -159,7 +161,7 @@
         if entry is None:
             return self.admission_queue.report_load("")
         return self.admission_queue.report_load(
-            entry.target_id, entry.started_ms
+            entry.target_id, entry.started_ms, self._is_target_leaving()
         )
 
     def apply_state(self) -> None:
@@ -498,7 +500,8 @@
             return _build_refusal(
                 _Kind.WRONG_INSTANCE, f"the target here is {entry.target_id}"
             )
-        if entry.state is not enumerations.InstanceState.SERVING:
+        is_serving = entry.state is enumerations.InstanceState.SERVING
+        if not is_serving or self._is_target_leaving():
             return _build_refusal(_Kind.LEAVING, "the target is leaving")
         if self._find_service() is None:
             return _build_refusal(
@@ -512,6 +515,12 @@
             return _build_refusal(_Kind.LEAVING, "the node is stopping")
         return None
 
+    def _is_target_leaving(self) -> bool:
+        """Whether the present target has said in an answer that it leaves."""
+        if self._leaving is None or self.entry is None:
+            return False
+        return self._leaving == _identify(self.entry)
+
     def _note_statements(
         self,
         received: http_adapter.TargetAnswer,
@@ -533,6 +542,12 @@
                 per_second=received.named_rate,
             )
             self.admission_queue.wake()
+        if received.is_leaving and not self._is_target_leaving():
+            self._leaving = _identify(asked)
+            self._log.record("target.leaving", target=asked.target_id)
+            self.admission_queue.refuse_waiting(
+                _Kind.LEAVING, "the target says that it leaves"
+            )
 
     def _find_max_idle(
         self, keep_alive: clock.Milliseconds | None
--- a/cyclamenwell/sidecar/tests/test_target_statements.py
+++ b/cyclamenwell/sidecar/tests/test_target_statements.py
@@ -109,12 +109,30 @@
     asyncio.run(run_scenario())
 
 
+def test_a_target_that_says_it_leaves_gets_no_more_requests():
+    """Guards against new work for a target that the platform lists as ready."""
+
+    async def run_scenario():
+        async with builders.run_executor() as (executor, target):
+            target.statements = [(names.SERVER_LEAVING, "1")]
+            answer = await run_request(executor, 1)
+            assert answer.status == 200
+            assert answer.load.is_leaving
+            assert await run_request(executor, 2) is Kind.LEAVING
+            assert len(target.runs) == 1
+
+    asyncio.run(run_scenario())
+
+
 def test_a_target_that_starts_anew_is_used_again():
     """Guards against a target that is avoided for what an earlier one said."""
 
     async def run_scenario():
         async with builders.run_executor() as (executor, target):
-            target.statements = [(names.SERVER_LIMIT, "0")]
+            target.statements = [
+                (names.SERVER_LEAVING, "1"),
+                (names.SERVER_LIMIT, "0"),
+            ]
             await run_request(executor, 1)
             target.statements = []
             executor._state.apply_targets(
@@ -135,5 +153,21 @@
             for number in range(2, 8):
                 answer = await run_request(executor, number)
                 assert answer.status == 200
+                assert not answer.load.is_leaving
+
+    asyncio.run(run_scenario())
+
+
+def test_another_target_at_the_address_says_nothing_of_this_one():
+    """Guards against statements that are taken from a misdirected answer."""
+
+    async def run_scenario():
+        async with builders.run_executor() as (executor, target):
+            await wait_warm(executor)
+            target.inject_faults(fake_target.Fault("misdirected"))
+            assert await run_request(executor, 1) is Kind.WRONG_INSTANCE
+            await wait_warm(executor)
+            answer = await run_request(executor, 2)
+            assert answer.status == 200
 
     asyncio.run(run_scenario())
