Refuse late requests that a stopping node would cut

It happens here: a node goes on accepting while requests run at the target beside it, and ends 0.8 s before the grace time whatever it still runs.

Change: from 3 s after SIGTERM, when the platform has seen that the node is not ready, a request is taken only if it would end in time at six times the average time of its route, and waits for a slot no longer than that allows. Otherwise it is refused with 503, which is true: nothing has run. Earlier requests are served as before.

--- a/cyclamenwell/admission/queue_wait.py
+++ b/cyclamenwell/admission/queue_wait.py
@@ -12,7 +12,7 @@
 
 from cyclamenwell import clock
 
-__all__ = ["find_max_wait", "find_retry_delay"]
+__all__ = ["find_max_wait", "find_retry_delay", "find_wait_before_stop"]
 
 # Part of the latency objective that a root request may spend in queues.
 _MAX_ROOT_WAIT_PART = 0.3
@@ -25,6 +25,8 @@
 _SPREAD_END_PART = 0.4
 # The range of retry delays extends to at least this multiple of its start.
 _MIN_SPREAD_FACTOR = 2.0
+# Nearly all requests take less than this multiple of the average time.
+_LONGEST_SERVICE_FACTOR = 6.0
 # Lower bound where the caller has little time left.
 _MIN_RETRY_DELAY = clock.Milliseconds(20)
 
@@ -56,6 +58,31 @@
     return max(min(longest, useful), clock.ZERO)
 
 
+def find_wait_before_stop(
+    time_left: clock.Milliseconds, service_time: clock.Milliseconds
+) -> clock.Milliseconds | None:
+    """Return the longest wait after which a request still ends before a stop.
+
+    Answers the requests that a stopping node gets late in its grace time: one
+    that runs at its end is cut without an answer, whereas a caller that is
+    refused in time knows that nothing has run.
+
+    Parameters
+    ----------
+    time_left : clock.Milliseconds
+        Time until the process ends.
+    service_time : clock.Milliseconds
+        Usual service time of such a request at a target.
+
+    Returns
+    -------
+    clock.Milliseconds or None
+        The wait, None if the request would probably be cut.
+    """
+    wait = time_left - service_time * _LONGEST_SERVICE_FACTOR
+    return wait if wait.value >= 0 else None
+
+
 def find_retry_delay(
     expected_capacity: clock.Milliseconds,
     objective: clock.Milliseconds,
--- a/cyclamenwell/admission/tests/test_queue_wait.py
+++ b/cyclamenwell/admission/tests/test_queue_wait.py
@@ -20,6 +20,17 @@
     assert too_late == clock.ZERO
 
 
+def test_a_late_request_is_taken_only_if_it_ends_before_the_stop():
+    """Guards against requests that are cut at the end of a planned stop."""
+    service_time = clock.Milliseconds(100)
+    wait = queue_wait.find_wait_before_stop(
+        clock.Milliseconds(1000), service_time
+    )
+    assert wait == clock.Milliseconds(400)
+    left = clock.Milliseconds(500)
+    assert queue_wait.find_wait_before_stop(left, service_time) is None
+
+
 def test_retry_delays_are_spread_within_the_accepted_range():
     """Guards against synchronized retries and delays callers ignore."""
     generator = random.Random(3)
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -121,6 +121,25 @@
         self._executor = executor
         self._links = links
         self._log = context.log
+        # While the node stops: the arrival from which requests are late, and
+        # the end of the process.
+        self._late_from: clock.Milliseconds | None = None
+        self._ends_at: clock.Milliseconds | None = None
+
+    def begin_stop(
+        self, late_from: clock.Milliseconds, ends_at: clock.Milliseconds
+    ) -> None:
+        """Refuse late requests that would run at the end of the process.
+
+        Parameters
+        ----------
+        late_from : clock.Milliseconds
+            Requests that arrive from then on are late.
+        ends_at : clock.Milliseconds
+            End of the process.
+        """
+        self._late_from = late_from
+        self._ends_at = ends_at
 
     async def run(self, call: RoutedCall) -> deployment.Result:
         """Return the complete answer of a target.
@@ -143,6 +162,9 @@
         failure: executors.AttemptError | None = None
         while True:
             max_wait = self._find_max_wait(call)
+            if max_wait is None:
+                failure = _build_stop_error()
+                raise self._build_error(call, attempts, failure, frozenset())
             entries = self._state.list_targets(call.service)
             saturated = self._saturated.list_saturated(
                 (entry.target_id for entry in entries),
@@ -416,14 +438,24 @@
             request=request,
         )
 
-    def _find_max_wait(self, call: RoutedCall) -> clock.Milliseconds:
-        """Return the maximum time that a request may wait for a slot."""
-        return queue_wait.find_max_wait(
+    def _find_max_wait(self, call: RoutedCall) -> clock.Milliseconds | None:
+        """Return the maximum time that a request may wait for a slot.
+
+        None if the process would end before the request does.
+        """
+        service_time = self._balancer.find_average_time(call.route.name)
+        max_wait = queue_wait.find_max_wait(
             call.is_nested,
             clock.Milliseconds(call.route.objective_ms),
             self._find_remaining(call),
-            self._balancer.find_average_time(call.route.name),
+            service_time,
+        )
+        if self._late_from is None or call.started_at < self._late_from:
+            return max_wait
+        before_stop = queue_wait.find_wait_before_stop(
+            self._ends_at - self._time.now(), service_time
         )
+        return None if before_stop is None else min(max_wait, before_stop)
 
     def _find_remaining(self, call: RoutedCall) -> clock.Milliseconds:
         return call.deadline - self._time.now() - _ANSWER_MARGIN
@@ -486,6 +518,16 @@
             )
 
 
+def _build_stop_error() -> executors.AttemptError:
+    """Return the error of a request that arrived too late before a stop."""
+    return executors.AttemptError(
+        _Kind.LEAVING,
+        "the node stops before the request would end",
+        reached_target=False,
+        not_run=True,
+    )
+
+
 def _build_timeout_error(
     entry: deployment.TargetEntry, is_sent: bool
 ) -> executors.AttemptError:
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -45,6 +45,8 @@
 # The platform checks readiness once a second and takes an instance out of
 # service after two failures; callers send new requests until then.
 _READINESS_DELAY = clock.Milliseconds(3200)
+# After this time the platform sends no new callers to a node that is not ready.
+_NOTICE_DELAY = clock.Milliseconds(3000)
 # Running requests are abandoned this long before SIGKILL.
 _KILL_MARGIN = clock.Milliseconds(800)
 _STOP_CHECK_INTERVAL = clock.Milliseconds(100)
@@ -280,6 +282,7 @@
         self._node.executor.is_leaving = True
         self._node.executor.apply_state()
         last = started_at + self._settings.bounds.grace - _KILL_MARGIN
+        self._node.dispatcher.begin_stop(started_at + _NOTICE_DELAY, last)
         while self._time.now() < last:
             await asyncio.sleep(_STOP_CHECK_INTERVAL.seconds)
             if self._time.now() - started_at < _READINESS_DELAY:
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -422,11 +422,18 @@
         request_id: str = "r-1",
         body: bytes = b"",
         api_key: str = "k1",
+        deadline_ms: int = 3000,
         **fields: str,
     ) -> calls.HttpAnswer:
         """Send a request of a caller to the node of a machine."""
         data = self.encode(
-            method, path, request_id, body, api_key=api_key, **fields
+            method,
+            path,
+            request_id,
+            body,
+            api_key=api_key,
+            deadline_ms=deadline_ms,
+            **fields,
         )
         stream = await streams.open_stream(machine.host, CALLER_PORT, _TIMEOUT)
         return await _exchange(stream, data)
@@ -511,6 +518,7 @@
         body: bytes,
         *,
         api_key: str = "k1",
+        deadline_ms: int = 3000,
         **fields: str,
     ) -> bytes:
         """Return an encoded request of a caller."""
@@ -520,7 +528,7 @@
             [
                 ("host", "meters.example"),
                 (names.REQUEST_ID, request_id),
-                (names.DEADLINE_MS, "3000"),
+                (names.DEADLINE_MS, str(deadline_ms)),
                 (names.API_KEY, api_key),
                 *((k.replace("_", "-"), v) for k, v in fields.items()),
             ],
--- a/cyclamenwell/sidecar/tests/test_processes.py
+++ b/cyclamenwell/sidecar/tests/test_processes.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cyclamenwell import clock
+from cyclamenwell.platform.tests import builders as platform_builders
 from cyclamenwell.sidecar.tests import builders
 
 
@@ -239,6 +240,60 @@
     run_fleet(("desk", "meter"), scenario)
 
 
+def test_requests_that_come_late_in_a_stop_are_not_cut(run_fleet):
+    """Guards against requests without an answer at the end of a planned stop.
+
+    The target beside the node is busy all the while, so the node goes on
+    serving its nested calls and other callers.
+    """
+
+    async def scenario(fleet):
+        stopping, other = fleet.machines
+
+        async def is_busy():
+            return stopping.target.running > 0
+
+        row = platform_builders.build_route_row(timeout_ms=9000)
+        fleet.publish("00000010", routes=platform_builders.build_table(row))
+        await asyncio.sleep(1.0)
+        for machine in fleet.machines:
+            machine.target.service_time = clock.Milliseconds(300)
+        for number in range(8):
+            await fleet.send_request(stopping, request_id=f"r-{number}")
+        stopping.target.service_time = clock.Milliseconds(7000)
+        other.target.service_time = clock.Milliseconds(900)
+        # Some of them run at the target beside the node.
+        busy = asyncio.gather(
+            *(
+                fleet.send_request(
+                    stopping, request_id=f"b-{number}", deadline_ms=9000
+                )
+                for number in range(12)
+            ),
+            return_exceptions=True,
+        )
+        await builders.wait_for(is_busy, "busy")
+        stopping.process.send_signal(signal.SIGTERM)
+
+        async def send_late(delay):
+            await asyncio.sleep(delay)
+            answer = await fleet.send_request(
+                stopping, request_id=f"l-{delay}", deadline_ms=9000
+            )
+            return answer.status
+
+        delays = [2.0, 3.1, 3.9, 4.4, 4.7, 5.0]
+        statuses = await asyncio.gather(
+            *map(send_late, delays), return_exceptions=True
+        )
+        assert statuses[0] == 200
+        assert set(statuses[1:]) <= {200, 503}
+        await busy
+        assert await asyncio.to_thread(stopping.process.wait, 8) == 0
+
+    run_fleet(("meter", "meter"), scenario)
+
+
 def test_a_caller_that_leaves_stops_the_work_at_the_target(run_fleet):
     """Guards against wasted work at a target two nodes from the caller."""
 
