Try each byte of an answer's head and body as its last one

Report of other operators: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It does not happen here: the two new tests cut an answer after each byte of its head (framed by length, by chunks and by the end of the connection) and of its body; all five pass on the code as it was. The head counts as unfinished until its empty line has been read.

--- a/cyclamenwell/sidecar/tests/test_hostile_targets.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -194,3 +194,52 @@
             assert caught.value.reached_target
 
     asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "end"])
+def test_an_answer_that_stops_in_its_head_is_never_whole(framing):
+    """Guards against an empty 200 for an answer that broke off in its head.
+
+    Every byte of the head is tried as the last one.
+    """
+    head, body = scripted_target.encode_framed_answer("r-1", b"whole", framing)
+    cuts = iter(range(len(head)))
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.stream.send(head[: next(cuts)])
+        connection.stream.end_sending()
+        await asyncio.sleep(0.01)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            for _ in range(len(head)):
+                with pytest.raises(executors.AttemptError) as caught:
+                    await run_request(executor, "r-1")
+                assert caught.value.kind is Kind.INCOMPLETE_ANSWER
+                assert not caught.value.not_run
+
+    asyncio.run(run_scenario())
+    assert next(cuts, None) is None
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_an_answer_that_stops_in_its_body_is_never_whole(framing):
+    """Guards against a short 200 for an answer that broke off in its body."""
+    head, body = scripted_target.encode_framed_answer("r-1", b"whole", framing)
+    cuts = iter(range(len(body)))
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.stream.send(head + body[: next(cuts)])
+        connection.stream.end_sending()
+        await asyncio.sleep(0.01)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            for _ in range(len(body)):
+                with pytest.raises(executors.AttemptError) as caught:
+                    await run_request(executor, "r-1")
+                assert not caught.value.not_run
+
+    asyncio.run(run_scenario())
