Let an unreadable configuration cost no other item of the answer

What callers would see: an evacuation or a later configuration that is not followed, while an unreadable value stands in `op/config`.

Cause: a configuration that cannot be decoded as a whole raised an error, and with it the whole answer of the store was dropped and asked for again. Same class as the odd entries of targets.

Change: any value that cannot be decoded becomes an item that holds nothing but the reason; nodes log it (`store.item_rejected`, also for entries of targets, which were dropped without a line) and pass it on like any other item. The configuration in force stays until a readable one follows.

--- a/cyclamenwell/platform/decoder.py
+++ b/cyclamenwell/platform/decoder.py
@@ -62,13 +62,12 @@
     Returns
     -------
     deployment.PublishedItem
-        The item. If the entry of a target is unreadable, `target` is None.
+        The item. If its value is unreadable, it holds nothing but the reason.
 
     Raises
     ------
     exceptions.PlatformError
-        If the key or the revision is missing, or a configuration is
-        unreadable.
+        If the key or the revision is missing.
     """
     key, revision = raw.get("key"), raw.get("revision")
     if not isinstance(key, str) or not _is_integer(revision):
@@ -80,6 +79,17 @@
         return deployment.PublishedItem(
             key, revision, data_centre_out=key[len(names.EVACUATION_PREFIX) :]
         )
+    try:
+        return _decode_value(key, revision, raw)
+    except _DECODING_ERRORS as error:
+        # One unreadable value must not cost the other items of an answer.
+        rejection = _escape(repr(error))[:_MAX_ENTRY_CHARACTERS]
+        return deployment.PublishedItem(key, revision, rejection=rejection)
+
+
+def _decode_value(
+    key: str, revision: int, raw: Mapping[str, Any]
+) -> deployment.PublishedItem:
     if key == names.CONFIGURATION_KEY:
         return deployment.PublishedItem(
             key, revision, configuration=_decode_configuration(raw)
@@ -87,7 +97,7 @@
     if key.startswith(names.TARGET_PREFIX):
         target_id = key[len(names.TARGET_PREFIX) :]
         return deployment.PublishedItem(
-            key, revision, target=_decode_target(target_id, raw)
+            key, revision, target=_decode_target(target_id, _load_value(raw))
         )
     return deployment.PublishedItem(key, revision)
 
@@ -120,20 +130,6 @@
 
 
 def _decode_target(
-    target_id: str, raw: Mapping[str, Any]
-) -> deployment.TargetEntry | None:
-    """Decode the entry of a target.
-
-    Returns None if another writer left an entry that is unreadable, so that
-    one entry does not prevent the decoding of the others.
-    """
-    try:
-        return _decode_complete_target(target_id, _load_value(raw))
-    except _DECODING_ERRORS:
-        return None
-
-
-def _decode_complete_target(
     target_id: str, value: Mapping[str, Any]
 ) -> deployment.TargetEntry:
     info, status = value["info"], value["status"]
@@ -165,28 +161,23 @@
     that stays in force instead would break every other change.
     """
     rejected: list[str] = []
-    try:
-        value = _load_value(raw)
-        organisations = list(_read_rows(value, "tenants"))
-        return deployment.Configuration(
-            version=_read_integer(int(value["version"], 16), maximum=_MAX_LONG),
-            routes=_decode_rows(
-                _read_rows(value, "routes"), _decode_route, rejected
-            ),
-            services=_decode_rows(
-                _read_rows(value, "services"), _decode_service, rejected
-            ),
-            organisations=_decode_rows(
-                organisations, _decode_organisation, rejected
-            ),
-            limits=_decode_limits(value.get("limits") or {}, rejected),
-            needs_keys=bool(organisations),
-            rejected_entries=tuple(rejected),
-        )
-    except _DECODING_ERRORS as error:
-        raise exceptions.PlatformError(
-            f"cannot decode the configuration: {error!r}"
-        ) from error
+    value = _load_value(raw)
+    organisations = list(_read_rows(value, "tenants"))
+    return deployment.Configuration(
+        version=_read_integer(int(value["version"], 16), maximum=_MAX_LONG),
+        routes=_decode_rows(
+            _read_rows(value, "routes"), _decode_route, rejected
+        ),
+        services=_decode_rows(
+            _read_rows(value, "services"), _decode_service, rejected
+        ),
+        organisations=_decode_rows(
+            organisations, _decode_organisation, rejected
+        ),
+        limits=_decode_limits(value.get("limits") or {}, rejected),
+        needs_keys=bool(organisations),
+        rejected_entries=tuple(rejected),
+    )
 
 
 def _read_rows(value: Mapping[str, Any], name: str) -> Iterator[dict[str, Any]]:
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -126,6 +126,7 @@
             # Has to precede `apply`: the first answer after an outage already
             # lacks the entries that expired in it.
             self._record_answer()
+            self._record_rejections(changes)
             apply(changes)
             self._state.note_fresh_read(prefix)
             jitter = self._random.uniform(
@@ -248,6 +249,16 @@
         self._pool.release(connection, _MAX_BACKOFF)
         return answer.status, answer.body
 
+    def _record_rejections(self, changes: deployment.PrefixChanges) -> None:
+        for item in changes.items:
+            if item.rejection:
+                self._log.record_routine(
+                    "store.item_rejected",
+                    key=item.key,
+                    revision=item.revision,
+                    reason=item.rejection,
+                )
+
     def _record_loss(self, prefix: str, error: Exception) -> None:
         if self._lost_since is None:
             self._lost_since = self._time.now()
