Count probes of a limited target towards the rate that it names

What a target in need would see: while its health endpoint fails, a probe every 0.3 s beside the requests, 13 in 4 s, more than a low limit allows.

Cause: probes went around the rate that the target had named.

Change: a probe takes a token of that rate, and waits for one.

Evidence: test_probes_count_towards_the_limit fails without the wait (7 probes in 2 s at 2 a second) and passes with it.

--- a/cyclamenwell/platform/tests/fake_target.py
+++ b/cyclamenwell/platform/tests/fake_target.py
@@ -81,6 +81,8 @@
         self.runs: list[Run] = []
         self.connections = 0
         self.running = 0
+        self.probes = 0
+        self._does_fail_probes = False
         self._cold_until = clock.ZERO
         self._streams: set[streams.Stream] = set()
         self._faults: list[Fault] = []
@@ -113,6 +115,10 @@
             Fault(fault.kind) for fault in faults for _ in range(fault.times)
         ]
 
+    def inject_probe_failures(self) -> None:
+        """Close the connections of all further probes without an answer."""
+        self._does_fail_probes = True
+
     async def _serve(self, stream: streams.Stream) -> None:
         self.connections += 1
         self._streams.add(stream)
@@ -139,6 +145,10 @@
         self, request: calls.HttpRequest, stream: streams.Stream
     ) -> bool:
         if request.path == "/health":
+            self.probes += 1
+            if self._does_fail_probes:
+                stream.abort()
+                return False
             fields = [
                 (names.INSTANCE_ID, self.target_id),
                 (names.COLD_MS, f"{self._find_cold_remaining().value:g}"),
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -594,6 +594,7 @@
             return True
         fields = [("host", f"{entry.host}:{entry.port}")]
         data = encoding.encode_request("GET", service.health_path, fields, b"")
+        await self._wait_for_named_rate()
         try:
             connection = self._pool.acquire_idle() or await self._pool.open()
             try:
@@ -611,6 +612,16 @@
         self._apply_health(http_adapter.parse_health(answer), received.not_run)
         return True
 
+    async def _wait_for_named_rate(self) -> None:
+        """Wait until the rate that the target has named allows a probe."""
+        named_rate = self.admission_queue.slot_scheduler.named_rate
+        while named_rate.is_active:
+            now = self._time.now()
+            if named_rate.take_token(now):
+                return
+            delay = named_rate.find_next_token_time(now) - now
+            await asyncio.sleep(delay.seconds)
+
     def _apply_health(
         self, report: http_adapter.HealthReport, was_shed: bool
     ) -> None:
--- a/cyclamenwell/sidecar/tests/test_target_statements.py
+++ b/cyclamenwell/sidecar/tests/test_target_statements.py
@@ -109,6 +109,24 @@
     asyncio.run(run_scenario())
 
 
+def test_probes_count_towards_the_limit():
+    """Guards against probes of a failing endpoint that exceed the limit."""
+
+    async def run_scenario():
+        async with builders.run_executor() as (executor, target):
+            await wait_warm(executor)
+            target.statements = [(names.SERVER_LIMIT, "2")]
+            await run_request(executor, "first")
+            before = target.probes
+            target.restart(clock.Milliseconds(60_000))
+            target.inject_probe_failures()
+            await run_request(executor, "second")
+            await asyncio.sleep(2.0)
+            assert 1 <= target.probes - before <= 5
+
+    asyncio.run(run_scenario())
+
+
 def test_a_target_that_says_it_leaves_gets_no_more_requests():
     """Guards against new work for a target that the platform lists as ready."""
 
