Show a usage cap that several nodes hand out

Cause: each node that takes over a tenant's cap begins with a burst of its own, and its predecessor goes on handing out. Change: a script with stand-ins; no code of the project is changed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -119,13 +119,14 @@
     request_id: str,
     deadline_ms: int,
     body: bytes = b"",
+    key: str = KEY,
 ) -> bytes:
     """Encode a request of a client."""
     headers = {
         "Host": HOST,
         "Request-Id": request_id,
         "Deadline-Ms": deadline_ms,
-        "X-Api-Key": KEY,
+        "X-Api-Key": key,
     }
     return encode(f"{method} {path} HTTP/1.1", headers, body)
 
@@ -137,11 +138,20 @@
         self._items: dict[str, tuple[int, bytes | None]] = {}
         self._revision = 10
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._is_cut = False
+        self._cut_writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self, host: str, port: int) -> None:
-        """Start to listen."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+    async def start(self, host: str, port: int, cut_port: int) -> None:
+        """Start to listen; machines that may be cut off use another port."""
+        await asyncio.start_server(self._serve, host, port)
+        await asyncio.start_server(self._serve_cut, host, cut_port)
+
+    def cut(self, is_cut: bool) -> None:
+        """Reset all connections on the second port, or end that."""
+        self._is_cut = is_cut
+        for writer in self._cut_writers:
+            writer.transport.abort()
+        self._cut_writers.clear()
 
     def put(self, key: str, value: object) -> None:
         """Write an item; None removes it."""
@@ -163,6 +173,15 @@
             "lease": 0,
         }
 
+    async def _serve_cut(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._is_cut:
+            writer.transport.abort()
+            return
+        self._cut_writers.add(writer)
+        await self._serve(reader, writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -240,9 +259,16 @@
         self.port = port
         self.record = record
         self.begun: set[str] = set()
+        self.born = int(time.time() * 1000)
+        self.cold_until = 0.0
         self._respond = respond
         self._server: asyncio.Server | None = None
 
+    @property
+    def cold_ms(self) -> int:
+        """How much longer the upstream is cold."""
+        return max(int((self.cold_until - time.monotonic()) * 1000), 0)
+
     async def start(self) -> None:
         """Start to listen."""
         self._server = await asyncio.start_server(
@@ -256,7 +282,10 @@
             while True:
                 request = await read_message(reader)
                 if request.path == "/health":
-                    headers = {"Instance-Id": self.upstream_id, "Cold-Ms": 0}
+                    headers = {
+                        "Instance-Id": self.upstream_id,
+                        "Cold-Ms": self.cold_ms,
+                    }
                     writer.write(encode("HTTP/1.1 200 OK", headers))
                     continue
                 if request.headers["target-instance"] != self.upstream_id:
@@ -386,6 +415,28 @@
     store: Store
     machines: list[Machine]
 
+    def put_entry(self, machine: Machine, state: str = "ready") -> None:
+        """Write the entry of an upstream into the store."""
+        upstream = machine.upstream
+        self.store.put(
+            f"servers/{upstream.upstream_id}",
+            {
+                "address": f"{upstream.host}:{upstream.port}",
+                "born": upstream.born,
+                "info": {
+                    "service": upstream.service,
+                    "version": "v1",
+                    "zone": machine.zone,
+                    "slots": 120,
+                },
+                "status": {
+                    "state": state,
+                    "seq": int(time.monotonic() * 1000),
+                    "cold_remaining_ms": upstream.cold_ms,
+                },
+            },
+        )
+
 
 def build_table(*rows: dict[str, object]) -> dict[str, object]:
     """Build a table of columns and rows."""
@@ -413,7 +464,20 @@
     return route | changes
 
 
-def build_configuration(routes: list[dict], services: set[str]) -> dict:
+def build_tenant(name: str, key: str, rate: float, burst: float) -> dict:
+    """Build a tenant; a rate of 0 means no limit."""
+    return {
+        "name": name,
+        "api_keys": [key],
+        "priority": 1,
+        "rate_per_s": rate,
+        "burst": burst,
+    }
+
+
+def build_configuration(
+    routes: list[dict], services: set[str], tenants: list[dict]
+) -> dict:
     """Build a configuration with the limits that the pages show."""
     return {
         "version": "00000007",
@@ -436,15 +500,7 @@
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": build_table(
-            {
-                "name": "shops",
-                "api_keys": [KEY],
-                "priority": 1,
-                "rate_per_s": 0,
-                "burst": 0,
-            }
-        ),
+        "tenants": build_table(build_tenant("shops", KEY, 0, 0), *tenants),
     }
 
 
@@ -472,6 +528,8 @@
     services: list[tuple[str, str]],
     routes: list[dict],
     respond: Respond,
+    tenants: list[dict] | None = None,
+    cut_machine: int | None = None,
 ) -> AsyncIterator[Deployment]:
     """Run a store and machines; yield when all nodes are ready.
 
@@ -485,24 +543,33 @@
         Routes of the configuration.
     respond : callable
         Runs a request at an upstream.
+    tenants : list of dict, optional
+        Tenants beside the one that has no limit.
+    cut_machine : int, optional
+        Index of the machine that `Store.cut` cuts off from the store.
     """
     if not (ROOT / "target" / "deps").is_dir():
         raise CaseError("target/deps is missing: run the build first")
     network = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
     hosts = [f"{network}.{index}" for index in range(1, len(services) + 1)]
-    ports = _find_free_ports(hosts, 6)
-    store_port, client, ready, app, peer, metrics = ports
+    ports = _find_free_ports(hosts, 7)
+    store_port, cut_port, client, ready, app, peer, metrics = ports
     store = Store()
-    await store.start(hosts[0], store_port)
+    await store.start(hosts[0], store_port, cut_port)
     names = {service for service, _ in services}
-    store.put("op/config", build_configuration(routes, names))
+    store.put("op/config", build_configuration(routes, names, tenants or []))
     folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
     record.write("settings", folder=folder)
     machines = []
     for index, (service, zone) in enumerate(services):
         host = hosts[index]
         upstream = Upstream(
-            f"i-{index + 1:08x}", service, host, app, record, respond
+            f"i-{index + 1:08x}",
+            service,
+            host,
+            app,
+            record,
+            respond,
         )
         await upstream.start()
         node = Node(f"sidecar-{zone}-{index + 1}", host, folder)
@@ -517,24 +584,12 @@
             },
             [peer, metrics],
             f"{host}:{app}",
-            f"{hosts[0]}:{store_port}",
+            f"{hosts[0]}:{cut_port if index == cut_machine else store_port}",
         )
         machines.append(Machine(zone, node, upstream, client, ready))
-        store.put(
-            f"servers/{upstream.upstream_id}",
-            {
-                "address": f"{host}:{app}",
-                "born": int(time.time() * 1000),
-                "info": {
-                    "service": service,
-                    "version": "v1",
-                    "zone": zone,
-                    "slots": 120,
-                },
-                "status": {"state": "ready", "seq": 1, "cold_remaining_ms": 0},
-            },
-        )
     deployment = Deployment(record, store, machines)
+    for machine in machines:
+        deployment.put_entry(machine)
     try:
         for machine in machines:
             machine.node.start()
