--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,11 +15,11 @@
 
 import standins
 
-_CLIENTS_PER_MACHINE = 15
+_CLIENTS_PER_MACHINE = 24
 _CLIENT_PAUSE_SECONDS = 0.25
 _CALM_SECONDS = 5.0
 _EVACUATED_SECONDS = 6.0
-_ROUNDS = 6
+_ROUNDS = 5
 _WORK_SECONDS = 0.1
 _DEADLINE_MS = 3000
 _COLD_SECONDS = 3.0
--- a/review/standins.py
+++ b/review/standins.py
@@ -656,11 +656,25 @@
 def run_case(folder: str, play: Callable[[Record], Awaitable[bool]]) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held."""
     record = Record(pathlib.Path(folder) / "record.txt")
+
+    async def play_until_stopped() -> bool:
+        # A case that is ended from outside still ends its nodes.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
+        return await play(record)
+
     try:
-        is_broken = asyncio.run(play(record))
+        is_broken = asyncio.run(play_until_stopped())
         status = BROKEN if is_broken else HELD
         record.write("result", rule="broken" if is_broken else "held")
-    except (CaseError, OSError, EOFError) as error:
+    except (
+        CaseError,
+        OSError,
+        EOFError,
+        asyncio.CancelledError,
+    ) as error:
         record.write("case-failed", error=repr(error))
         status = NOT_RUN
     # Connections that were left open need no orderly end.
