--- a/review/4/case.py
+++ b/review/4/case.py
@@ -89,6 +89,8 @@
         for _ in range(_STOPS):
             if standins.has_trouble():
                 await asyncio.gather(*map(self._stop, stopped))
+            else:
+                await asyncio.sleep(standins.GRACE_SECONDS)
             await asyncio.sleep(_PAUSE_SECONDS)
         self._is_over = True
         await asyncio.gather(*clients)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -133,6 +133,8 @@
             await asyncio.sleep(_CALM_SECONDS)
             if standins.has_trouble():
                 await self._evacuate()
+            else:
+                await asyncio.sleep(_EVACUATED_SECONDS + _COLD_SECONDS)
         await asyncio.sleep(_CALM_SECONDS)
         self._is_over = True
         await asyncio.gather(*tasks)
