Treat a target as cold when its data centre is taken back

Cause: operators' items and targets are followed separately. A node learned at once that the data centre was taken back, but of an earlier change of the target's entry only up to 1.9 s later, and opened the target with the state that it had before the evacuation.

Change: the node beside the target paces it like one that has just started until its health endpoint has answered. A report that was on its way when the reason for another probe came up does not end the pacing.

Two of the three new tests failed before: one without the change, one without the rule about the report on its way; the third guards against pacing a warm target for long.

Why it works: only this node reaches the target, so what it holds back is held back from all, whichever change of the store arrives first.

--- a/cyclamenwell/configuration/tests/published_builders.py
+++ b/cyclamenwell/configuration/tests/published_builders.py
@@ -50,6 +50,17 @@
     )
 
 
+def build_evacuation(
+    data_centre: str, revision: int, **changes
+) -> deployment.PublishedItem:
+    """Return a published item that takes a data centre out."""
+    return deployment.PublishedItem(
+        f"op/evacuate/{data_centre}",
+        revision,
+        **({"data_centre_out": data_centre} | changes),
+    )
+
+
 def list_all(
     revision: int, *items: deployment.PublishedItem
 ) -> deployment.PrefixChanges:
--- a/cyclamenwell/platform/tests/fake_target.py
+++ b/cyclamenwell/platform/tests/fake_target.py
@@ -74,6 +74,8 @@
         self.target_id = target_id
         self.service_time = clock.Milliseconds(5)
         self.cold = clock.ZERO
+        # Time from what a health report states to its arrival.
+        self.probe_time = clock.ZERO
         # Body of the next answers, None for a short one with the identity.
         self.body: bytes | None = None
         # Headers of all answers in which the target states something of itself.
@@ -154,6 +156,7 @@
                 (names.COLD_MS, f"{self._find_cold_remaining().value:g}"),
                 *self.statements,
             ]
+            await asyncio.sleep(self.probe_time.seconds)
             _send(stream, 200, fields, b"")
             return True
         fault = self._faults.pop(0).kind if self._faults else ""
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -152,6 +152,8 @@
         self._leaving: _Incarnation | None = None
         self._must_probe = asyncio.Event()
         self._is_cold_known = False
+        # Whether the data centre of the target was out at the last change.
+        self._was_out = False
         self._last_health_report = clock.ZERO
 
     @property
@@ -196,6 +198,12 @@
             self._begin_pacing(
                 clock.Milliseconds(entry.cold_remaining_ms) + _COLD_MARGIN
             )
+        is_out = entry.data_centre in self._state.data_centres_out
+        if self._was_out and not is_out:
+            # The target may have become cold in the meantime. Its entry says
+            # so, but changes of targets may arrive after this one.
+            self._assume_cold("the data centre is taken back")
+        self._was_out = is_out
         refusal = self._find_refusal(entry.service, entry.target_id)
         if refusal is not None and self.admission_queue.slot_scheduler.queued:
             self.admission_queue.refuse_waiting(refusal.kind, refusal.detail)
@@ -632,8 +640,11 @@
             cold_ms=report.cold_remaining.value,
             shed=was_shed,
         )
-        self._is_cold_known = True
         self._last_health_report = self._time.now()
+        if self._must_probe.is_set():
+            # The report may be older than the reason for the next probe.
+            return
+        self._is_cold_known = True
         if report.cold_remaining.value > 0:
             self._begin_pacing(report.cold_remaining + _COLD_MARGIN)
         else:
--- a/cyclamenwell/sidecar/tests/test_executor.py
+++ b/cyclamenwell/sidecar/tests/test_executor.py
@@ -1,10 +1,12 @@
 """Tests of the executor against a target that returns faulty answers."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from cyclamenwell import clock
+from cyclamenwell.configuration.tests import published_builders
 from cyclamenwell.generated import enumerations
 from cyclamenwell.platform.tests import fake_target
 from cyclamenwell.sidecar import executor as executors
@@ -194,6 +196,103 @@
     asyncio.run(run_scenario())
 
 
+def test_a_target_that_became_cold_during_an_evacuation_is_not_flooded():
+    """Guards against full load on a target whose entry does not tell yet.
+
+    The removal of an evacuation may arrive before an earlier change of the
+    target's entry.
+    """
+
+    async def run_scenario():
+        async with builders.run_executor() as (executor, target):
+            slot_scheduler = executor.admission_queue.slot_scheduler
+            await builders.wait_for(lambda: is_warm(slot_scheduler), "warm")
+            await evacuate(executor, 2)
+            target.cold = clock.Milliseconds(3000)
+            take_back(executor, 3)
+            await check_cold_rate(executor, target)
+
+    asyncio.run(run_scenario())
+
+
+def test_a_health_report_from_before_the_last_evacuation_does_not_count():
+    """Guards against a flood after a report that was on its way too long."""
+
+    async def run_scenario():
+        async with builders.run_executor() as (executor, target):
+            slot_scheduler = executor.admission_queue.slot_scheduler
+            await builders.wait_for(lambda: is_warm(slot_scheduler), "warm")
+            target.probe_time = clock.Milliseconds(200)
+            await evacuate(executor, 2)
+            take_back(executor, 3)
+            await asyncio.sleep(0.1)
+            await evacuate(executor, 4)
+            target.cold = clock.Milliseconds(3000)
+            take_back(executor, 5)
+            await check_cold_rate(executor, target)
+
+    asyncio.run(run_scenario())
+
+
+async def check_cold_rate(executor, target):
+    """Check that a cold target gets no more requests than it sustains."""
+    cold_per_second, excess, slack = 10.0, 1.5, 5
+    before = len(target.runs)
+    tasks = []
+    for number in range(100):
+        tasks.append(asyncio.create_task(run_leniently(executor, number)))
+        await asyncio.sleep(0.005)
+    await asyncio.gather(*tasks)
+    runs = len(target.runs) - before
+    assert 1 <= runs <= cold_per_second * excess + slack
+
+
+def test_a_target_that_stayed_warm_is_soon_used_fully_after_an_evacuation():
+    """Guards against a warm target that is paced like a cold one."""
+
+    async def run_scenario():
+        async with builders.run_executor() as (executor, target):
+            slot_scheduler = executor.admission_queue.slot_scheduler
+            await builders.wait_for(lambda: is_warm(slot_scheduler), "warm")
+            await evacuate(executor, 2)
+            take_back(executor, 3)
+            time = clock.SystemClock()
+            begin = time.now()
+            await builders.wait_for(lambda: is_warm(slot_scheduler), "warm")
+            assert time.now() - begin < clock.Milliseconds(500)
+
+    asyncio.run(run_scenario())
+
+
+async def evacuate(executor, revision):
+    """Take the data centre of the target out, at a revision of the store."""
+    item = published_builders.build_evacuation("a", revision)
+    executor._state.apply_operators(
+        published_builders.list_after(revision - 1, revision, item)
+    )
+    executor.apply_state()
+    with pytest.raises(executors.AttemptError) as caught:
+        await run_request(executor)
+    assert caught.value.kind is Kind.DATA_CENTRE_OUT
+
+
+def take_back(executor, revision):
+    """Take the data centre of the target back."""
+    item = published_builders.build_evacuation(
+        "a", revision, data_centre_out="", removed=True
+    )
+    executor._state.apply_operators(
+        published_builders.list_after(revision - 1, revision, item)
+    )
+    executor.apply_state()
+
+
+async def run_leniently(executor, number):
+    """Run a request that may be refused."""
+    with contextlib.suppress(executors.AttemptError):
+        await run_request(executor, request_id=f"r-{number}", max_wait_ms=200.0)
+
+
 async def is_warm(slot_scheduler):
     """Return whether cold-start pacing has ended."""
     return not slot_scheduler.is_cold(clock.SystemClock().now())
