Begin at the cold limit when a data centre is taken back

Change: a listener of the configuration resets the gate to the cold limit when the data centre of the node is taken back. A warm target is back at its limit after a few windows of answers, as after a start.

Evidence: the new test fails without the listener, since the gate keeps its limit of more than 10 where a cold target gets 4. Not shown by a run of real processes: the stand-in target of the own interface does not become cold by itself.

--- a/cyclamenwell/admission/gate.py
+++ b/cyclamenwell/admission/gate.py
@@ -192,6 +192,11 @@
             self._limit.cap(cap)
             self._serve_queue(self._time.now())
 
+    def assume_cold(self, reason: str) -> None:
+        """Reset to the cold limit: the state of the target is not known."""
+        with self._lock:
+            self._limit.reset_to_cold_limit(self._time.now(), reason)
+
     def read_load(self) -> tickets.GateLoad:
         """Return the current load."""
         with self._lock:
--- a/cyclamenwell/admission/limit.py
+++ b/cyclamenwell/admission/limit.py
@@ -178,6 +178,44 @@
         """Set an additional upper bound, or remove it with None."""
         self._cap = self._max_in_progress if cap is None else cap
 
+    def reset_to_cold_limit(self, now: clock.Milliseconds, reason: str) -> None:
+        """Reset to the cold limit, as for a target that has just started.
+
+        Parameters
+        ----------
+        now : clock.Milliseconds
+            Present monotonic time.
+        reason : str
+            Reason for the log.
+        """
+        if self._limit > self._cold_limit:
+            _log.info(
+                "limit reset from %d to the cold limit %d: %s",
+                self.value,
+                self._cold_limit,
+                reason,
+            )
+        if (now - self._last_fallback) < _FALLBACK_BACKOFF_TIME:
+            self._growth_hold = min(
+                max(self._growth_hold * 2, _MIN_GROWTH_HOLD), _MAX_GROWTH_HOLD
+            )
+        else:
+            self._growth_hold = clock.ZERO
+        self._last_fallback = now
+        self._growth_hold_until = now + self._growth_hold
+        self._limit = float(self._cold_limit)
+        self._limit_before_probe = None
+        self._baseline_ms = None
+        self._last_mean_ms = 0.0
+        self._recent_ms.clear()
+        self._consecutive_sheds = 0
+        self._consecutive_breaks = 0
+        self.cold = True
+        # Samples of earlier admissions do not describe the present target.
+        self.epoch += 1
+        self._restart_window()
+        self._answers_to_skip = self.value
+
     def record_in_progress(self, in_progress: int) -> None:
         """Record the number of requests at the target."""
         self._in_progress = in_progress
@@ -203,7 +241,7 @@
         if observation.result is _Result.NOT_SENT or epoch < self.epoch:
             return
         if observation.result is _Result.UNREACHABLE:
-            self._reset_to_cold_limit(now, "the target refuses connections")
+            self.reset_to_cold_limit(now, "the target refuses connections")
             return
         if observation.result is _Result.SHED:
             self._record_shed(now)
@@ -226,7 +264,7 @@
             self._limit, _MIN_CONSECUTIVE_SHEDS
         )
         if halved and self._limit > self._cold_limit:
-            self._reset_to_cold_limit(
+            self.reset_to_cold_limit(
                 now,
                 f"{self._consecutive_sheds} consecutive requests were shed",
             )
@@ -238,7 +276,7 @@
     def _record_break(self, now: clock.Milliseconds) -> None:
         self._consecutive_breaks += 1
         if self._consecutive_breaks >= _MIN_CONSECUTIVE_BREAKS:
-            self._reset_to_cold_limit(
+            self.reset_to_cold_limit(
                 now,
                 f"{self._consecutive_breaks} consecutive connections broke",
             )
@@ -265,7 +303,7 @@
             return
         self._recent_ms.append(duration_ms)
         if self._has_latency_jump():
-            self._reset_to_cold_limit(now, "the response time rose abruptly")
+            self.reset_to_cold_limit(now, "the response time rose abruptly")
             return
         if self._skip_answer():
             return
@@ -280,38 +318,6 @@
         usual_ms = max(self._baseline_ms, self._last_mean_ms)
         return mean_ms > _JUMP_RATIO * usual_ms + _JUMP_FLOOR_MS
 
-    def _reset_to_cold_limit(
-        self, now: clock.Milliseconds, reason: str
-    ) -> None:
-        """Reset to the cold limit, as for a target that has just started."""
-        if self._limit > self._cold_limit:
-            _log.info(
-                "limit reset from %d to the cold limit %d: %s",
-                self.value,
-                self._cold_limit,
-                reason,
-            )
-        if (now - self._last_fallback) < _FALLBACK_BACKOFF_TIME:
-            self._growth_hold = min(
-                max(self._growth_hold * 2, _MIN_GROWTH_HOLD), _MAX_GROWTH_HOLD
-            )
-        else:
-            self._growth_hold = clock.ZERO
-        self._last_fallback = now
-        self._growth_hold_until = now + self._growth_hold
-        self._limit = float(self._cold_limit)
-        self._limit_before_probe = None
-        self._baseline_ms = None
-        self._last_mean_ms = 0.0
-        self._recent_ms.clear()
-        self._consecutive_sheds = 0
-        self._consecutive_breaks = 0
-        self.cold = True
-        # Samples of earlier admissions do not describe the present target.
-        self.epoch += 1
-        self._restart_window()
-        self._answers_to_skip = self.value
-
     def _restart_window(self) -> None:
         self._window = _SampleWindow()
         self._answers_to_skip = max(self._in_progress, self.value)
@@ -392,7 +398,7 @@
             return
         # Responses stay slow without a queue at the target, so the target or a
         # downstream service is slow; the baseline is measured again.
-        self._reset_to_cold_limit(now, "the response time stays high")
+        self.reset_to_cold_limit(now, "the response time stays high")
 
     def _decrease(self, factor: float) -> None:
         # Below the cold limit only sheds, which are an unambiguous overload
--- a/cyclamenwell/node/assembly.py
+++ b/cyclamenwell/node/assembly.py
@@ -124,6 +124,10 @@
         loaded.instance.service, shared.store, gate, limiter, agreement
     )
     shared.store.add_listener(own_service_listener.apply_change)
+    data_centre_listener = own_service.DataCentreListener(
+        loaded.instance.data_centre, shared.store, gate
+    )
+    shared.store.add_listener(data_centre_listener.apply_change)
     claim_parts = claims.build_claims(
         loaded,
         shared.identity,
--- a/cyclamenwell/node/own_service.py
+++ b/cyclamenwell/node/own_service.py
@@ -1,4 +1,4 @@
-"""Application of the service document to admission and rate limits."""
+"""Application of configuration changes to admission and rate limits."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from cyclamenwell.limits import limiter as limiters
 from cyclamenwell.membership import view_agreement as agreements
 
-__all__ = ["OwnServiceListener"]
+__all__ = ["DataCentreListener", "OwnServiceListener"]
 
 
 class OwnServiceListener:
@@ -78,3 +78,45 @@
             # bounds that name it.
             self._limiter.apply_document(document.version, callers)
             self._agreement.note_version(document.version)
+
+
+class DataCentreListener:
+    """Treats the target as cold when its data centre is taken back.
+
+    What the gate has learned of the target is from before the data centre was
+    taken out. A target that got nothing since then may have restarted, or be
+    cold for another reason, without any sign.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of the node.
+    store : stores.Store
+        Configuration in force.
+    gate : gates.Gate
+        Limits the load of the target.
+    """
+
+    def __init__(
+        self, data_centre: str, store: stores.Store, gate: gates.Gate
+    ) -> None:
+        self._data_centre = data_centre
+        self._store = store
+        self._gate = gate
+        self._lock = threading.Lock()
+        self._was_out = False
+
+    def apply_change(
+        self,
+        snapshot: snapshots.Snapshot,
+        accepted: tuple[messages.VersionEntry, ...],
+    ) -> None:
+        """Note whether the data centre is out; a listener of the store."""
+        del snapshot, accepted
+        # Listeners may be called for two changes in either order, so the
+        # newest state is read from the store.
+        with self._lock:
+            is_out = self._data_centre in self._store.snapshot.data_centres_out
+            if self._was_out and not is_out:
+                self._gate.assume_cold("the data centre is taken back")
+            self._was_out = is_out
--- a/cyclamenwell/node/tests/test_gate_bounds.py
+++ b/cyclamenwell/node/tests/test_gate_bounds.py
@@ -1,5 +1,11 @@
-"""Tests of the admission limits from the service document."""
+"""Tests of the admission limits that follow the configuration."""
 
+from cyclamenwell import clock
+from cyclamenwell.admission.tests import builders as admission_builders
+from cyclamenwell.configuration import audit
+from cyclamenwell.configuration import store as stores
+from cyclamenwell.generated import messages
+from cyclamenwell.node import own_service
 from cyclamenwell.testing import builders
 from cyclamenwell.testing import fleet as fleets
 
@@ -23,3 +29,27 @@
         )
     finally:
         fleet.stop()
+
+
+def test_a_data_centre_that_is_taken_back_starts_with_the_cold_limit():
+    """Guards against full load on a target that got nothing for a while."""
+    plan = admission_builders.TargetPlan(slots=20, service_ms=40)
+    simulation = admission_builders.Simulation(plan)
+    simulation.run(5, admission_builders.Traffic(1000))
+    assert simulation.gate.read_load().limit > 10
+    store = stores.Store(clock.ManualClock(), audit.AuditTrail())
+    listener = own_service.DataCentreListener("dc-a", store, simulation.gate)
+    store.add_listener(listener.apply_change)
+    take_out(store, 1, "dc-a", "dc-b")
+    take_out(store, 2, "dc-a")
+    assert simulation.gate.read_load().limit > 10
+    take_out(store, 3)
+    load = simulation.gate.read_load()
+    assert load.cold
+    assert load.limit <= 4
+
+
+def take_out(store, version, *data_centres):
+    """Publish the data centres that are out."""
+    text = builders.build_fleet_text(*data_centres)
+    store.apply([messages.DocumentText("fleet", version, text)], "test")
