Refuse an answer whose status is below 100 at once

Cause: the parser takes each status below 200 for an interim answer, after which the final one follows.

Change: a status below 100 is malformed, for both front ends. The request gets 502 at once (it may have run), and the connection is not used again. An answer of status 000 that is followed by the true one now fails, too: bytes after a malformed head are not to be trusted.

--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -34,6 +34,7 @@
 _HEADER_OVERHEAD_BYTES = 4  # Colon, space and line end of a header.
 _NAME_CACHE_SIZE = 512  # Decoded header names.
 _MAX_INTERIM_ANSWERS = 16
+_MIN_STATUS = 100
 _MAX_STATUS = 599
 _SWITCHING_PROTOCOLS = 101
 _MIN_FINAL_STATUS = 200
@@ -354,7 +355,8 @@
         """Check the head of an answer and count interim answers."""
         self._end_head()
         self._status = self._parser.get_status_code()
-        if self._status == _SWITCHING_PROTOCOLS or self._status > _MAX_STATUS:
+        is_possible = _MIN_STATUS <= self._status <= _MAX_STATUS
+        if self._status == _SWITCHING_PROTOCOLS or not is_possible:
             raise exceptions.ProtocolError(f"status {self._status}")
         if not self._is_interim():
             return
--- a/cyclamenwell/node/tests/test_target.py
+++ b/cyclamenwell/node/tests/test_target.py
@@ -66,6 +66,7 @@
         b"HTTP/1.1 200 OK\r\nconte",
         b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort",
         b"HTTP/1.1 200 OK\r\n\r\nno framing",
+        b"HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\nok",
         b"HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\nbad length",
         b"HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\nbad length",
         b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
--- a/cyclamenwell/sidecar/tests/test_hostile_targets.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -14,14 +14,13 @@
 DEADLINE = clock.Milliseconds(2000)
 
 
-async def run_request(executor, request_id, **changes):
+async def run_request(executor, request_id, receiver=None, **changes):
     """Run a request and return its result."""
-    offer = builders.build_offer(request_id=request_id, **changes)
+    offer = builders.build_offer(request_id=request_id)
+    request = builders.build_request(**changes)
     deadline = clock.SystemClock().now() + DEADLINE
     async with executor.reserve(offer) as slot:
-        return await executor.run(
-            offer, builders.build_request(), deadline, slot, None
-        )
+        return await executor.run(offer, request, deadline, slot, receiver)
 
 
 def test_a_refusal_without_identity_is_not_believed_on_a_kept_connection():
@@ -243,3 +242,32 @@
                 assert not caught.value.not_run
 
     asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize("status", ["000", "099", "101"])
+@pytest.mark.parametrize("body", [b"", b"whole"], ids=["headless", "whole"])
+def test_an_answer_with_an_impossible_status_fails_at_once(status, body):
+    """Guards against status 000 at callers, and against waiting for more.
+
+    A status below 200 was taken for an interim answer, so the request waited
+    for the final one until its deadline.
+    """
+    head, _ = scripted_target.encode_framed_answer("r-1", b"whole", "length")
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.stream.send(head.replace(b" 200 ", f" {status} ".encode()))
+        connection.stream.send(body)
+        await connection.read_request()
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            time = clock.SystemClock()
+            started = time.now()
+            with pytest.raises(executors.AttemptError) as caught:
+                await run_request(executor, "r-1")
+            assert caught.value.kind is Kind.INCOMPLETE_ANSWER
+            assert not caught.value.not_run
+            assert time.now() - started < DEADLINE * 0.5
+
+    asyncio.run(run_scenario())
