Take no answer as whole that ends while its request is sent

A reset that comes alone was told from an end here already, whether the read or the write notices it. It was not if the target ends its side of the connection first: the part was passed on as a whole answer, also one of 400 KB that is passed on in parts.

Cause: an answer without a length is complete at the end of its connection, whatever had become of the request.

Change: if a part of the request is still unsent at that end, the answer counts as broken off (502, may have run; a part that was passed on ends with a reset of the caller's connection). A server that has not read a request cannot close without resetting, so a whole answer does not look like this.

--- a/cyclamenwell/sidecar/http_client.py
+++ b/cyclamenwell/sidecar/http_client.py
@@ -114,8 +114,7 @@
                     self.is_used = True
                     return self._parser.begin_parts()
                 continue
-            self._is_persistent = False
-            self._parser.finish()
+            self._finish()
             received = self._parser.pop_answer()
             if received is None:
                 raise exceptions.ProtocolError(
@@ -145,10 +144,26 @@
             if data:
                 self._feed(data)
                 continue
-            self._is_persistent = False
-            self._parser.finish()
+            self._finish()
         return part
 
+    def _finish(self) -> None:
+        """Handle an end of the connection that may be that of an answer.
+
+        Raises
+        ------
+        exceptions.ProtocolError
+            If it is not.
+        """
+        self._is_persistent = False
+        if not self.stream.is_flushed:
+            # A server that ends the connection while a request is being sent
+            # resets it next, and an answer that is reset is not whole.
+            raise exceptions.ProtocolError(
+                "the connection ended before the request was sent"
+            )
+        self._parser.finish()
+
     def _feed(self, data: bytes) -> None:
         """Parse bytes; malformed data after a complete answer is ignored.
 
--- a/cyclamenwell/sidecar/tests/test_hostile_targets.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cyclamenwell import clock
+from cyclamenwell import exceptions
 from cyclamenwell.generated import enumerations
 from cyclamenwell.platform.tests import scripted_target
 from cyclamenwell.sidecar import executor as executors
@@ -271,3 +272,37 @@
             assert time.now() - started < DEADLINE * 0.5
 
     asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize("ends_first", [False, True])
+@pytest.mark.parametrize("size", [500, 400_000], ids=["whole", "parts"])
+def test_an_answer_that_cuts_off_an_upload_is_never_whole(ends_first, size):
+    """Guards against the part of an answer before a reset as the whole one.
+
+    The target answers an upload at once, without a length, and resets the
+    connection while the upload is still being written. It may end its side of
+    the connection just before.
+    """
+    head, _ = scripted_target.encode_framed_answer("r-1", b"", "end")
+
+    async def serve(connection):
+        await connection.stream.receive(DEADLINE)
+        connection.stream.send(head + b"x" * size)
+        await connection.stream.flush(DEADLINE)
+        if ends_first:
+            connection.stream.end_sending()
+        await asyncio.sleep(0.2)
+        connection.reset()
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            receiver = builders.RecordingReceiver()
+            with pytest.raises(
+                (executors.AttemptError, exceptions.BrokenAnswerError)
+            ):
+                await run_request(
+                    executor, "r-1", receiver, body=b"x" * 30_000_000
+                )
+            assert not receiver.ends
+
+    asyncio.run(run_scenario())
