End the answer to a HEAD request with its head

Cause: the parser of a target's connection expected the body that the head announces; the parser of the other front end knew the method already.

Change: the connection tells its parser the method. The answer to HEAD is complete with its head and the last one on its connection, as the HTTP library cannot be told to expect no body.

Evidence: the new test of two HEAD requests timed out before.

--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -472,6 +472,16 @@
         self._has_last_part = False
         # Whether the answer taken in parts allows another request.
         self.keep_alive = False
+        self._is_head = False
+        # After an answer to HEAD, httptools expects the body that it announces.
+        self._is_over = False
+
+    def begin(self, method: str) -> None:
+        """Expect the answer to a request.
+
+        The answer to HEAD is the last one on its connection.
+        """
+        self._is_head = method == "HEAD"
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -483,6 +493,8 @@
         exceptions.RefusedError
             If an answer is too large.
         """
+        if self._is_over:
+            raise exceptions.ProtocolError("bytes after an answer to HEAD")
         self._parse(data)
 
     def finish(self) -> None:
@@ -542,6 +554,8 @@
 
     def on_message_begin(self) -> None:
         """Begin an answer."""
+        if self._is_over:
+            raise exceptions.ProtocolError("bytes after an answer to HEAD")
         if self._has_last_part:
             # The parts of the previous answer have not all been taken.
             raise exceptions.ProtocolError("bytes after an answer in parts")
@@ -550,8 +564,11 @@
         self._is_in_answer = True
 
     def on_headers_complete(self) -> None:
-        """Check the head."""
+        """Check the head, with which the answer to HEAD is complete."""
         self._end_answer_head()
+        if self._is_head and not self._is_interim():
+            self._queue_answer(keep_alive=False)
+            self._is_over = True
 
     def on_message_complete(self) -> None:
         """Queue a complete answer that is not interim."""
@@ -559,6 +576,8 @@
         if self._is_interim():
             self._is_in_answer = False
             return
+        if self._is_over:
+            return
         self._queue_answer(self._parser.should_keep_alive())
 
     def _queue_answer(self, keep_alive: bool) -> None:
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -295,7 +295,7 @@
         )
         connection = await self._connect()
         try:
-            connection.send(data)
+            connection.send(data, request.method)
             received, partial = await self._receive_matching(
                 connection, offer.request_id, deadline
             )
--- a/cyclamenwell/sidecar/http_client.py
+++ b/cyclamenwell/sidecar/http_client.py
@@ -42,14 +42,22 @@
             and not self._parser.has_pending_data()
         )
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes, method: str = "GET") -> None:
         """Send an encoded request.
 
+        Parameters
+        ----------
+        data : bytes
+            The request.
+        method : str
+            Its method.
+
         Raises
         ------
         OSError
             If the connection is closed.
         """
+        self._parser.begin(method)
         self.stream.send(data)
 
     async def receive(self, timeout: clock.Milliseconds) -> calls.HttpAnswer:
--- a/cyclamenwell/sidecar/tests/test_hostile_targets.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -306,3 +306,26 @@
             assert not receiver.ends
 
     asyncio.run(run_scenario())
+
+
+def test_an_answer_to_a_head_request_has_no_body():
+    """Guards against waiting for a body that never comes."""
+
+    async def serve(connection):
+        request = await connection.read_request()
+        head, _ = scripted_target.encode_framed_answer(
+            request.find_header("request-id"), b"whole", "length"
+        )
+        connection.stream.send(head)
+        await connection.read_request()
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            for request_id in ("r-1", "r-2"):
+                result = await run_request(
+                    executor, request_id, method="HEAD", body=b""
+                )
+                assert result.status == 200
+                assert result.body == b""
+
+    asyncio.run(run_scenario())
