Bound the time until the next part of an answer

Report of bytes without end: a body may also be nothing but the beginning of a chunk that never comes, a byte at a time. The request then never ended and kept its slot at the target, and its caller waited without end; memory did not grow.

Cause: while an answer is passed on in parts, each received byte began the wait for the next part anew, and the bound on the whole answer was looked at between two parts only.

Change: the wait for a part ends at a fixed time, whatever arrives, as the wait for the beginning of an answer does; both use the same code.

Evidence: the new test ran into its own time limit before.

--- a/cyclamenwell/sidecar/http_client.py
+++ b/cyclamenwell/sidecar/http_client.py
@@ -97,8 +97,7 @@
         exceptions.ProtocolError
             If the answer is malformed or truncated.
         """
-        loop = self.stream.loop
-        end = loop.time() + timeout.seconds
+        end = self.stream.loop.time() + timeout.seconds
         while True:
             received = self._parser.pop_answer()
             if received is not None:
@@ -107,13 +106,7 @@
                     self._is_persistent and received.keep_alive
                 )
                 return received.answer
-            remaining = end - loop.time()
-            if remaining <= 0:
-                # Bytes may arrive without end.
-                raise TimeoutError("no whole answer in time")
-            data = await self.stream.receive(
-                clock.Milliseconds.from_seconds(remaining)
-            )
+            data = await self._receive_before(end)
             if data:
                 self._feed(data)
                 if self._parser.has_answer():
@@ -136,25 +129,49 @@
         Raises
         ------
         TimeoutError
-            If nothing was received in time.
+            If no byte of the body was received in time.
         OSError
             If the connection failed.
         exceptions.ProtocolError
             If the answer is malformed or truncated.
         """
+        end = self.stream.loop.time() + timeout.seconds
         while not (part := self._parser.pop_part()):
             if self._parser.pop_end():
                 self._is_persistent = (
                     self._is_persistent and self._parser.keep_alive
                 )
                 return b""
-            data = await self.stream.receive(timeout)
+            data = await self._receive_before(end)
             if data:
                 self._feed(data)
                 continue
             self._finish()
         return part
 
+    async def _receive_before(self, end: float) -> bytes:
+        """Return received bytes, empty at the end of the stream.
+
+        Parameters
+        ----------
+        end : float
+            Loop time up to which the bytes count, also if they arrive without
+            end.
+
+        Raises
+        ------
+        TimeoutError
+            If there are none in time.
+        OSError
+            If the connection failed.
+        """
+        remaining = end - self.stream.loop.time()
+        if remaining <= 0:
+            raise TimeoutError("no whole answer in time")
+        return await self.stream.receive(
+            clock.Milliseconds.from_seconds(remaining)
+        )
+
     def _finish(self) -> None:
         """Handle an end of the connection that may be that of an answer.
 
--- a/cyclamenwell/sidecar/tests/test_large_answers.py
+++ b/cyclamenwell/sidecar/tests/test_large_answers.py
@@ -160,6 +160,38 @@
     asyncio.run(run_scenario())
 
 
+def test_a_chunk_that_never_begins_ends_with_its_request(monkeypatch):
+    """Guards against waiting for ever for the next part of an answer.
+
+    Bytes arrive one by one, each in time, but none of them is of the body.
+    """
+    monkeypatch.setattr(executors, "_MAX_OVERTIME", clock.Milliseconds(300))
+    monkeypatch.setattr(executors, "_PART_TIMEOUT", clock.Milliseconds(200))
+
+    async def serve(connection):
+        request = await connection.read_request()
+        head, body = scripted_target.encode_framed_answer(
+            request.find_header("request-id"), b"x" * 400_000, "chunks"
+        )
+        connection.stream.send(head + body.removesuffix(b"0\r\n\r\n") + b"5;")
+        while connection.stream.is_open:
+            connection.stream.send(b"y")
+            await asyncio.sleep(0.05)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            request = run_request(
+                executor,
+                builders.RecordingReceiver(),
+                clock.Milliseconds(300),
+            )
+            with pytest.raises(exceptions.BrokenAnswerError):
+                await asyncio.wait_for(request, DEADLINE.seconds)
+            assert executor.admission_queue.slot_scheduler.running == 0
+
+    asyncio.run(run_scenario())
+
+
 def test_large_answers_reach_slow_callers_whole(tmp_path):
     """Guards against memory that grows with the size of the answers."""
 
