Bound the memory for the answer to a health probe

Report of bytes without end: the answer to a probe was collected up to 64 MB of body, in a process that may have 200 MB, again at each probe.

Cause: probes used the limit of answers of the platform's store. Answers to requests go on in parts from 256 KB on and were bounded already.

Change: a health report stands in the head; with a body above 64 KiB the probe has failed, and its connection is closed.

--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -31,6 +31,8 @@
 _IDLE_MARGIN = clock.Milliseconds(1000)
 _PROBE_INTERVAL = clock.Milliseconds(300)
 _PROBE_TIMEOUT = clock.Milliseconds(1000)
+# A health report is in the head; its body is not read.
+_MAX_HEALTH_BYTES = 64 * 1024
 # A target is treated as cold until its health endpoint has answered.
 _UNKNOWN_COLD_DURATION = clock.Milliseconds(60_000)
 # Pacing lasts a little longer than the target states: queued requests start all
@@ -607,7 +609,9 @@
             connection = self._pool.acquire_idle() or await self._pool.open()
             try:
                 connection.send(data)
-                answer = await connection.receive(_PROBE_TIMEOUT)
+                answer = await connection.receive(
+                    _PROBE_TIMEOUT, _MAX_HEALTH_BYTES
+                )
             except BaseException:
                 connection.close()
                 raise
--- a/cyclamenwell/sidecar/http_client.py
+++ b/cyclamenwell/sidecar/http_client.py
@@ -60,9 +60,20 @@
         self._parser.begin(method)
         self.stream.send(data)
 
-    async def receive(self, timeout: clock.Milliseconds) -> calls.HttpAnswer:
+    async def receive(
+        self,
+        timeout: clock.Milliseconds,
+        max_bytes: int = _MAX_ANSWER_BYTES,
+    ) -> calls.HttpAnswer:
         """Return the next complete answer.
 
+        Parameters
+        ----------
+        timeout : clock.Milliseconds
+            Time until the answer is complete.
+        max_bytes : int
+            Size of a body that is too large.
+
         Raises
         ------
         TimeoutError
@@ -70,9 +81,14 @@
         OSError
             If the connection failed.
         exceptions.ProtocolError
-            If the answer is malformed or truncated.
+            If the answer is malformed, truncated or too large.
         """
-        return await self.receive_begun(timeout, _MAX_ANSWER_BYTES)
+        answer = await self.receive_begun(timeout, max_bytes)
+        if isinstance(answer, http1.PartialAnswer):
+            raise exceptions.ProtocolError(
+                f"the body has more than {max_bytes} bytes"
+            )
+        return answer
 
     async def receive_begun(
         self, timeout: clock.Milliseconds, max_bytes: int
--- a/cyclamenwell/sidecar/tests/test_hostile_targets.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -329,3 +329,34 @@
                 assert result.body == b""
 
     asyncio.run(run_scenario())
+
+
+def test_a_health_report_without_end_is_given_up():
+    """Guards against memory that is filled by the answer to a probe."""
+    sent = []  # By each connection.
+
+    async def serve(connection):
+        await connection.read_request()
+        head, _ = scripted_target.encode_framed_answer("", b"", "end")
+        connection.stream.send(head)
+        parts = 0
+        try:
+            while connection.stream.is_open:
+                connection.stream.send(b"x" * 100_000)
+                parts += 1
+                await connection.stream.flush(DEADLINE)
+                await asyncio.sleep(0)
+        finally:
+            sent.append(parts * 100_000)
+
+    async def is_given_up():
+        return bool(sent)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            executor._assume_cold("test")
+            await builders.wait_for(is_given_up, "given up")
+
+    asyncio.run(run_scenario())
+    # Buffers of the sockets are a part of it.
+    assert sent[0] < 16_000_000
