Close an idle connection when bytes arrive on it

Report of bytes without end: they may also come after a whole answer. A node kept up to half a megabyte of them for each idle connection until the connection was used or expired, with up to as many connections as the target has slots.

Cause: the pool looked at a connection only when it took it out again.

Change: bytes that arrive on an idle connection close it. They belong to no request, and the connection was not used again before, either.

Evidence: in the new test the connection stayed open while the target went on sending; it is closed within 0.3 s now.

--- a/cyclamenwell/sidecar/http_client.py
+++ b/cyclamenwell/sidecar/http_client.py
@@ -261,7 +261,7 @@
         now = self._time.now()
         while self._idle:
             connection, expiry = self._idle.pop()
-            connection.stream.set_close_callback(None)
+            _remove_callbacks(connection)
             if now < expiry and connection.is_reusable:
                 return connection
             connection.close()
@@ -286,11 +286,16 @@
     def release(
         self, connection: HttpConnection, max_idle: clock.Milliseconds
     ) -> None:
-        """Return a connection to the pool, or close it if not reusable."""
+        """Return a connection to the pool, or close it if not reusable.
+
+        It is closed as soon as bytes arrive before it is used again.
+        """
         if not connection.is_reusable or max_idle.value <= 0:
             connection.close()
             return
         connection.stream.set_close_callback(self._on_idle_close)
+        # Bytes that arrive now belong to no request, and may come without end.
+        connection.stream.set_data_callback(connection.close)
         self._idle.append((connection, self._time.now() + max_idle))
         self._close_expired()
 
@@ -305,5 +310,11 @@
             self._close(self._idle.popleft()[0])
 
     def _close(self, connection: HttpConnection) -> None:
-        connection.stream.set_close_callback(None)
+        _remove_callbacks(connection)
         connection.close()
+
+
+def _remove_callbacks(connection: HttpConnection) -> None:
+    """Let a connection that leaves the pool be watched by its user only."""
+    connection.stream.set_close_callback(None)
+    connection.stream.set_data_callback(None)
--- a/cyclamenwell/sidecar/streams.py
+++ b/cyclamenwell/sidecar/streams.py
@@ -78,6 +78,7 @@
         self._read_timer_at = 0.0
         self._writer: asyncio.Future | None = None
         self._close_callback: Callable[[], object] | None = None
+        self._data_callback: Callable[[], object] | None = None
         self._begin_reading()
 
     @property
@@ -177,6 +178,10 @@
         """Set a function to call once when the other side disconnects."""
         self._close_callback = callback
 
+    def set_data_callback(self, callback: Callable[[], object] | None) -> None:
+        """Set a function to call when bytes arrive that no task waits for."""
+        self._data_callback = callback
+
     def enable_keepalive(self) -> None:
         """Enable TCP keepalive, to detect a silent peer.
 
@@ -288,6 +293,8 @@
             self._is_reading = False
             self.loop.remove_reader(self._descriptor)
         _resolve(self._reader)
+        if self._data_callback is not None:
+            self._data_callback()
 
     def _send_more(self) -> None:
         try:
--- a/cyclamenwell/sidecar/tests/test_hostile_targets.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -360,3 +360,31 @@
     asyncio.run(run_scenario())
     # Buffers of the sockets are a part of it.
     assert sent[0] < 16_000_000
+
+
+def test_bytes_on_an_idle_connection_close_it_at_once():
+    """Guards against memory for bytes that belong to no request.
+
+    A target with many connections could fill a buffer for each of them.
+    """
+    closed_after = []
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.answer("r-1")
+        await asyncio.sleep(0.05)
+        time = clock.SystemClock()
+        started = time.now()
+        while connection.stream.is_open:
+            connection.stream.send(b"x")
+            await asyncio.sleep(0.01)
+        closed_after.append(time.now() - started)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            await run_request(executor, "r-1")
+            await asyncio.sleep(0.5)
+
+    asyncio.run(run_scenario())
+    assert closed_after
+    assert closed_after[0] < clock.Milliseconds(300)
