Try bytes without end from several targets at once

Report of bytes without end, cases that had not been tried: one byte at a time in a head, and all targets of a service at once, to callers that read and to callers that do not, together with uploads of 2 MB. Both hold without a change of the code: the first ends at the deadline of the request, and in the second all uploads are served and each node stays below 200 MB, the smallest limit of the users' machines.

--- a/cyclamenwell/platform/tests/fake_target.py
+++ b/cyclamenwell/platform/tests/fake_target.py
@@ -15,6 +15,7 @@
 __all__ = ["FakeTarget", "Fault", "Run"]
 
 _IDLE_TIMEOUT = clock.Milliseconds(60_000)
+_NOISE = b"x" * 100_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,8 +48,9 @@
         that it did not run the request), ``misdirected``, ``unsealed``,
         ``foreign`` (a response to another request comes first),
         ``unframed`` (the body ends with the connection), ``encoded``,
-        ``busy`` (503 for a request that was run) or ``extra`` (bytes after
-        the response).
+        ``busy`` (503 for a request that was run), ``extra`` (bytes after the
+        response), ``endless-head`` or ``endless-body`` (bytes that are no
+        response, until the caller closes).
     times : int
         Number of responses with the fault.
     """
@@ -117,6 +119,10 @@
             Fault(fault.kind) for fault in faults for _ in range(fault.times)
         ]
 
+    def clear_faults(self) -> None:
+        """Answer without faults from now on."""
+        self._faults.clear()
+
     def inject_probe_failures(self) -> None:
         """Close the connections of all further probes without an answer."""
         self._does_fail_probes = True
@@ -190,6 +196,12 @@
         if fault == "unframed":
             _send(stream, 200, sealed, body, is_framed=False)
             return False
+        if fault == "endless-head":
+            stream.send(b"HTTP/1.1 200 X\r\nx-noise: ")
+            await _send_without_end(stream)
+        if fault == "endless-body":
+            _send(stream, 200, sealed, b"", is_framed=False)
+            await _send_without_end(stream)
         if fault == "foreign":
             other = [(names.REQUEST_ID, "other"), (names.RESPONSE_SEAL, "x")]
             _send(stream, 200, other, b"another answer")
@@ -234,3 +246,17 @@
         lines.append(f"content-length: {len(body)}")
     head = "\r\n".join(lines).encode() + b"\r\n\r\n"
     stream.send(head + body[:cut])
+
+
+async def _send_without_end(stream: streams.Stream) -> None:
+    """Send bytes until the other side closes.
+
+    Raises
+    ------
+    OSError
+        When it has closed.
+    """
+    while True:
+        stream.send(_NOISE)
+        await stream.flush(_IDLE_TIMEOUT)
+        await asyncio.sleep(0.001)
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -583,6 +583,13 @@
         connection.close()
 
 
+def find_peak_bytes(machine: Machine) -> int:
+    """Return the largest amount of memory that a node has used so far."""
+    status = pathlib.Path(f"/proc/{machine.process.pid}/status")
+    lines = dict(line.split(":", 1) for line in status.read_text().splitlines())
+    return int(lines["VmHWM"].split()[0]) * 1024
+
+
 async def wait_for(condition, description: str) -> None:
     """Poll an asynchronous condition until it is true.
 
--- a/cyclamenwell/sidecar/tests/test_hostile_targets.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_targets.py
@@ -175,6 +175,29 @@
     asyncio.run(run_scenario())
 
 
+def test_a_head_byte_by_byte_ends_at_the_deadline():
+    """Guards against bytes that each begin the wait for an answer anew."""
+
+    async def serve(connection):
+        await connection.read_request()
+        connection.stream.send(b"HTTP/1.1 200 OK\r\nx-long: ")
+        while connection.stream.is_open:
+            connection.stream.send(b"y")
+            await asyncio.sleep(0.05)
+
+    async def run_scenario():
+        async with builders.run_scripted_executor(serve) as executor:
+            time = clock.SystemClock()
+            started = time.now()
+            with pytest.raises(executors.AttemptError) as caught:
+                await run_request(executor, "r-1")
+            assert caught.value.kind is Kind.TIMED_OUT
+            assert not caught.value.not_run
+            assert time.now() - started < DEADLINE * 1.2
+
+    asyncio.run(run_scenario())
+
+
 def test_an_answer_above_the_size_limit_may_have_run():
     """Guards against 'not run' for a request whose answer is too large."""
 
--- a/cyclamenwell/sidecar/tests/test_large_answers.py
+++ b/cyclamenwell/sidecar/tests/test_large_answers.py
@@ -1,7 +1,6 @@
 """Tests of answers that are passed on in parts."""
 
 import asyncio
-import pathlib
 
 import pytest
 
@@ -210,13 +209,6 @@
         assert answer.status == 200
         assert answer.body == LARGE
 
-    def find_peak(machine):
-        status = pathlib.Path(f"/proc/{machine.process.pid}/status")
-        lines = dict(
-            line.split(":", 1) for line in status.read_text().splitlines()
-        )
-        return int(lines["VmHWM"].split()[0]) * 1024
-
     async def run_scenario():
         fleet = builders.Fleet(tmp_path, ("desk", "meter", "meter", "meter"))
         # The route's limit of 800 ms is not what this test is about: 50 answers
@@ -232,7 +224,64 @@
                 *(read_slowly(fleet, desk, n) for n in range(SLOW_READERS))
             )
             for machine in fleet.machines:
-                assert find_peak(machine) < MAX_PEAK_BYTES
+                assert builders.find_peak_bytes(machine) < MAX_PEAK_BYTES
+
+    asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize("fault", ["endless-head", "endless-body"])
+def test_bytes_without_end_leave_room_for_other_callers(tmp_path, fault):
+    """Guards against memory and time that several faulty targets take.
+
+    All targets of a service send without end to callers that read, and to
+    callers that do not, while others upload.
+    """
+
+    async def call(fleet, machine, number, reads):
+        data = fleet.encode("GET", "/read/1", f"e-{number}", b"", api_key="k3")
+        stream = await streams.open_stream(
+            machine.host, builders.CALLER_PORT, DEADLINE
+        )
+        stream.send(data)
+        while reads and await stream.receive(DEADLINE * 10):
+            pass
+        await asyncio.sleep(DEADLINE.seconds * 10)
+
+    async def run_scenario():
+        fleet = builders.Fleet(tmp_path, ("desk", "meter", "meter", "meter"))
+        row = platform_builders.build_route_row(timeout_ms=3000)
+        fleet.publish(routes=platform_builders.build_table(row))
+        async with fleet.run():
+            desk = fleet.machines[0]
+            for machine in fleet.machines:
+                await fleet.wait_ready(machine)
+                machine.target.inject_faults(fake_target.Fault(fault, 100))
+            callers = [
+                asyncio.create_task(call(fleet, desk, number, number % 2 == 0))
+                for number in range(24)
+            ]
+            await asyncio.sleep(1.5)
+            for machine in fleet.machines:
+                machine.target.clear_faults()
+            answers = await asyncio.gather(
+                *(
+                    fleet.send_request(
+                        desk,
+                        "POST",
+                        "/read/1",
+                        f"u-{number}",
+                        b"x" * 2_000_000,
+                        api_key="k3",
+                    )
+                    for number in range(8)
+                )
+            )
+            assert [answer.status for answer in answers] == [200] * 8
+            for machine in fleet.machines:
+                assert machine.process.poll() is None
+                assert builders.find_peak_bytes(machine) < MAX_PEAK_BYTES
+            for caller in callers:
+                caller.cancel()
 
     asyncio.run(run_scenario())
 
