Use one token bucket for cold targets and named rates

The limiter of cold targets kept a token bucket of its own beside the one in limits/bucket, which the limiter of named rates uses. It uses that one now; rates, burst and the first token after a reset are the same.

--- a/cyclamenwell/admission/slots.py
+++ b/cyclamenwell/admission/slots.py
@@ -17,6 +17,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell.admission import named_rate
+from cyclamenwell.limits import bucket
 
 __all__ = [
     "ColdStartLimiter",
@@ -86,14 +87,12 @@
     def __init__(self, excess: float, slack: float) -> None:
         self._rate_factor = 1.0 + (excess - 1.0) * _COLD_EXCESS_SHARE
         self._burst = max(slack * _COLD_SLACK_SHARE, 1.0)
-        self._rate = 1.0
-        self._tokens = 1.0
-        self._last_refill = clock.ZERO
+        self._bucket = bucket.TokenBucket(clock.ZERO)
 
     @property
     def rate_per_second(self) -> float:
         """Refill rate of the bucket in requests a second."""
-        return self._rate
+        return self._bucket.rate_per_second
 
     def reset(self, now: clock.Milliseconds, rate_per_second: float) -> None:
         """Reset the bucket for a target that has become cold.
@@ -105,34 +104,27 @@
         rate_per_second : float
             Cold rate of the target in requests a second.
         """
-        self._rate = max(rate_per_second * self._rate_factor, 1.0)
-        self._tokens = 1.0
-        self._last_refill = now
+        rate = max(rate_per_second * self._rate_factor, 1.0)
+        self._bucket = bucket.TokenBucket(now)
+        self._bucket.resize(rate, self._burst, now)
+        self._bucket.add(1.0)
 
     def has_token(self, now: clock.Milliseconds) -> bool:
         """Return whether a request may start."""
-        self._refill(now)
-        return self._tokens >= 1.0
+        self._bucket.refill(now)
+        return self._bucket.level >= 1.0
 
     def take_token(self, now: clock.Milliseconds) -> bool:
         """Take a token, and return whether one was available."""
-        if not self.has_token(now):
-            return False
-        self._tokens -= 1.0
-        return True
+        return self._bucket.take(now)
 
     def find_next_token_time(
         self, now: clock.Milliseconds
     ) -> clock.Milliseconds:
         """Return the monotonic time at which a token is available."""
-        self._refill(now)
-        missing = max(1.0 - self._tokens, 0.0)
-        return now + clock.Milliseconds(missing / self._rate * 1000.0 + 1.0)
-
-    def _refill(self, now: clock.Milliseconds) -> None:
-        elapsed = max((now - self._last_refill).seconds, 0.0)
-        self._tokens = min(self._tokens + elapsed * self._rate, self._burst)
-        self._last_refill = now
+        self._bucket.refill(now)
+        # A rate of at least 1 a second always leads to a token.
+        return now + self._bucket.find_wait() + clock.Milliseconds(1.0)
 
 
 class SlotScheduler:
