--- a/review/6/check.py
+++ b/review/6/check.py
@@ -116,7 +116,9 @@
             if is_late and is_old:
                 found[what].append(answer)
         await asyncio.sleep(0.5)
-    runs = {run.request_id: run for m in bed.machines for run in m.upstream.runs}
+    runs = {
+        run.request_id: run for m in bed.machines for run in m.upstream.runs
+    }
     lines = []
     for what, answers in found.items():
         ran = [a for a in answers if a.request_id in runs]
--- a/review/testbed.py
+++ b/review/testbed.py
@@ -221,6 +221,8 @@
         self.era = 1
         self.calls = 0
         self.refused_watches = 0
+        self.cut_watches = 0
+        self._cuts = 0
         self.refused_calls = 0
         self._second = 0
         self._calls_in_second = 0
@@ -254,6 +256,12 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def cut_waiting(self) -> None:
+        """Cut the watches that are waiting now."""
+        self._cuts += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def restore_copy(self, age: float) -> None:
         """Go back to what the store held some seconds ago, in a new era."""
         moment = time.monotonic() - age
@@ -283,6 +291,9 @@
                 if self._take_call():
                     status, answer = await self._answer(request.path)
                 self.refused_calls += status == 429
+                if not status:
+                    self.cut_watches += 1
+                    return
                 headers = {
                     "Content-Type": "application/json",
                     "Store-Era": str(self.era),
@@ -332,6 +343,7 @@
         self, prefix: str, after: int, wait_ms: int
     ) -> tuple[int, dict[str, Any]]:
         end = time.monotonic() + wait_ms / 1000.0
+        cuts = self._cuts
         while True:
             if after > self.revision:
                 self.refused_watches += 1
@@ -344,6 +356,8 @@
             remaining = end - time.monotonic()
             if events or remaining <= 0:
                 return 200, {"events": events, "store_revision": self.revision}
+            if self._cuts != cuts:
+                return 0, {}
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining):
                     await self._changed.wait()
@@ -394,6 +408,7 @@
         self.service = service
         self.slots = 84
         self.work_seconds = 0.05
+        self.is_leaving = False
         self.runs: list[Run] = []
         self.answered: set[str] = set()
         # Called for each request that is run; may return raw bytes to send in
@@ -401,6 +416,7 @@
         self.spoil: Callable[[Request], bytes | None] = lambda request: None
         self._record = record
         self._running = 0
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -410,13 +426,16 @@
         )
 
     def stop(self) -> None:
-        """Stop listening."""
+        """End: stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 answer = await self._answer(request, reader)
@@ -424,9 +443,12 @@
                     return
                 writer.write(answer)
                 await writer.drain()
+                if self.is_leaving:
+                    return
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
@@ -434,9 +456,13 @@
     ) -> bytes | None:
         request_id = request.headers.get("request-id", "")
         own = {"Instance-Id": self.target_id}
+        if self.is_leaving:
+            own |= {"Server-Leaving": "1"}
         if request.path == "/health":
-            return encode_answer(200, own)
+            return encode_answer(503 if self.is_leaving else 200, own)
         echoed = {"Request-Id": request_id}
+        if self.is_leaving:
+            echoed |= {"Server-Leaving": "1", "Connection": "close"}
         if request.headers.get("target-instance") != self.target_id:
             return encode_answer(421, own | echoed)
         if self._running >= self.slots:
@@ -579,13 +605,25 @@
         head = await self._reader.readuntil(b"\r\n\r\n")
         lines = head.decode("latin-1").split("\r\n")
         headers = _parse_headers(lines[1:])
-        length = int(headers.get("content-length", "0"))
-        answer.body = await self._reader.readexactly(length)
+        if headers.get("transfer-encoding") == "chunked":
+            answer.body = await self._receive_chunks()
+        else:
+            length = int(headers.get("content-length", "0"))
+            answer.body = await self._reader.readexactly(length)
         answer.headers = headers
         answer.status = int(lines[0].split(" ")[1])
         if headers.get("connection", "").lower() == "close":
             self.close()
 
+    async def _receive_chunks(self) -> bytes:
+        parts = []
+        while True:
+            size = int(await self._reader.readuntil(b"\r\n"), 16)
+            part = await self._reader.readexactly(size + 2)
+            if not size:
+                return b"".join(parts)
+            parts.append(part[:-2])
+
 
 class Relay:
     """Relay between nodes with the bandwidth of one machine's link.
