--- a/review/testbed.py
+++ b/review/testbed.py
@@ -409,6 +409,7 @@
         self.slots = 84
         self.work_seconds = 0.05
         self.is_leaving = False
+        self.cold_until = 0.0
         self.runs: list[Run] = []
         self.answered: set[str] = set()
         # Called for each request that is run; may return raw bytes to send in
@@ -459,6 +460,8 @@
         if self.is_leaving:
             own |= {"Server-Leaving": "1"}
         if request.path == "/health":
+            cold = max(self.cold_until - time.monotonic(), 0.0)
+            own |= {"Cold-Ms": str(int(cold * 1000))}
             return encode_answer(503 if self.is_leaving else 200, own)
         echoed = {"Request-Id": request_id}
         if self.is_leaving:
