--- a/review/testbed.py
+++ b/review/testbed.py
@@ -412,9 +412,12 @@
         self.cold_until = 0.0
         self.runs: list[Run] = []
         self.answered: set[str] = set()
-        # Called for each request that is run; may return raw bytes to send in
-        # place of the answer.
-        self.spoil: Callable[[Request], bytes | None] = lambda request: None
+        # Returns the status and the body of the answer to a request.
+        self.judge: Callable[[Request], tuple[int, bytes]] = self._accept
+        # Given the last answer on a connection when the next request on it is
+        # there; returns the bytes that are sent before that is answered.
+        self.repeat: Callable[[bytes], bytes] = lambda answer: b""
+        self.statuses: dict[str, int] = {}
         self._record = record
         self._running = 0
         self._writers: set[asyncio.StreamWriter] = set()
@@ -437,11 +440,17 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        last = b""
         try:
             while (request := await read_request(reader)) is not None:
+                if last and request.path != "/health":
+                    writer.write(self.repeat(last))
+                    await writer.drain()
                 answer = await self._answer(request, reader)
                 if answer is None:
                     return
+                if request.path != "/health":
+                    last = answer
                 writer.write(answer)
                 await writer.drain()
                 if self.is_leaving:
@@ -494,12 +503,20 @@
                 return None
         finally:
             self._running -= 1
+        status, body = self.judge(request)
         self.answered.add(request_id)
-        spoiled = self.spoil(request)
-        if spoiled is not None:
-            return spoiled
-        body = f"{self.service} {self.target_id} {request_id}".encode()
-        return encode_answer(200, echoed | {"Response-Seal": "s.1"}, body)
+        self.statuses[request_id] = status
+        fields = {
+            "Date": time.strftime("%a, %d %b %Y %H:%M:%S GMT", time.gmtime()),
+            "Content-Type": "application/json",
+        }
+        return encode_answer(
+            status, fields | echoed | {"Response-Seal": "s.1"}, body
+        )
+
+    def _accept(self, request: Request) -> tuple[int, bytes]:
+        request_id = request.headers.get("request-id", "")
+        return 200, f"{self.service} {self.target_id} {request_id}".encode()
 
 
 async def _work(reader: asyncio.StreamReader, seconds: float) -> bool:
