--- a/review/9/check.py
+++ b/review/9/check.py
@@ -1,32 +1,36 @@
-"""Uploads to another machine over a link of 100 Mbit/s."""
+"""An upstream whose entry is removed, while the store cuts waiting watches."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import time
 from typing import Any
 
 import testbed
 
-_LINK_MBPS = 100.0
-_LARGE_BYTES = 12 * 1024 * 1024  # Takes 1 s on the link.
-_SMALL_BYTES = 60_000
-_UPLOADS = 12
+# When the store cuts the waiting watches, from the removal of the entry.
+_CUTS_SECONDS = (-1.1, 0.4)
+_DRAIN_SECONDS = 2.0  # drain_ms
+# When the upstream that replaces the leaving one starts.
+_REPLACE_SECONDS = 1.5
+# When the clients on the machine of the leaving one send.
+_SEND_SECONDS = 2.8
+# When the leaving one ends.
+_EXIT_SECONDS = 3.5
+_CLIENTS = 6
 _KEY = "key-of-the-shop"
-_DEADLINE_MS = 8000
-_MAX_DENIED = 5
-_OWN_PROMISES = (408, 421, 429)
 
 
 def _build() -> dict[str, Any]:
     route = {
-        "name": "board",
+        "name": "orders",
         "host": testbed.HOST,
-        "prefix": "/board/",
-        "kind": "upload",
-        "service": "board",
-        "timeout_ms": 8000,
-        "target_latency_ms": 4000,
+        "prefix": "/orders/",
+        "kind": "non_idempotent",
+        "service": "orders",
+        "timeout_ms": 3000,
+        "target_latency_ms": 1500,
         "priority": 1,
         "max_attempts": 2,
         "public": False,
@@ -34,63 +38,85 @@
     return testbed.build_configuration(
         11,
         [route],
-        ["desk", "board"],
+        ["orders"],
         [{"name": "shop", "api_keys": [_KEY], "rate_per_s": 0, "burst": 0}],
     )
 
 
+async def _start_upstream(
+    bed: testbed.Bed, machine: testbed.Machine, begin: float
+) -> None:
+    """Report the time for which a new upstream is cold, at its heartbeats."""
+    for beat, cold_ms in enumerate((3000, 1500, 0)):
+        await _sleep_until(begin + 1.5 * beat)
+        bed.publish(machine, cold_remaining_ms=cold_ms)
+
+
+async def _cut_watches(bed: testbed.Bed, removal: float) -> None:
+    for seconds in _CUTS_SECONDS:
+        await _sleep_until(removal + seconds)
+        if bed.has_trouble:
+            bed.store.cut_waiting()
+
+
+async def _sleep_until(moment: float) -> None:
+    await asyncio.sleep(max(moment - time.monotonic(), 0.0))
+
+
 async def _scenario(bed: testbed.Bed) -> list[str]:
-    peers = bed.ports["peers"]
-    entry = await bed.add_machine("node-1", "desk", link_mbps=_LINK_MBPS)
-    boards = [
-        await bed.add_machine(
-            name, "board", "zone-b", link_mbps=_LINK_MBPS, peer_port=peers + 20
-        )
-        for name in ("node-2", "node-3")
-    ]
-    # The links of the machines: each node reaches the others over a relay.
-    relays = []
-    for machine in boards:
-        relay = testbed.Relay(_LINK_MBPS)
-        await relay.start(machine.host, peers, machine.host, peers + 20)
-        relays.append(relay)
-    back = testbed.Relay(_LINK_MBPS)
-    await back.start(entry.host, peers + 20, entry.host, peers)
-    relays.append(back)
+    leaving = await bed.add_machine("node-1", "orders")
+    await bed.add_machine("node-2", "orders", "zone-b")
+    added = await bed.add_machine("node-3", "orders", "zone-b")
+    bed.store.write(f"servers/{added.upstream.target_id}", None)
+    for machine in bed.machines:
+        machine.upstream.work_seconds = 1.0
     bed.store.write("op/config", _build())
     await bed.start()
-    await asyncio.sleep(5.0)
-    size = _LARGE_BYTES if bed.has_trouble else _SMALL_BYTES
-    answers = []
-    for number in range(_UPLOADS):
-        client = testbed.Client(entry, bed.record)
-        answers.append(
-            await client.ask(
-                f"upload-{number}",
-                "/board/1",
-                method="POST",
-                key=_KEY,
-                deadline_ms=_DEADLINE_MS,
-                body=bytes(size),
-            )
+    await asyncio.sleep(6.0)
+    removal = time.monotonic() - _CUTS_SECONDS[0]
+    cuts = asyncio.ensure_future(_cut_watches(bed, removal))
+    await _sleep_until(removal)
+    leaving.upstream.is_leaving = True
+    bed.store.write(f"servers/{leaving.upstream.target_id}", None)
+    bed.record.say("the entry of i-node-1 is removed; it goes on serving")
+    start = asyncio.ensure_future(
+        _start_upstream(bed, added, removal + _REPLACE_SECONDS)
+    )
+
+    async def order(number: int) -> testbed.Answer:
+        client = testbed.Client(leaving, bed.record)
+        answer = await client.ask(
+            f"order-{number}",
+            "/orders/1",
+            method="POST",
+            key=_KEY,
+            body=b"shut",
         )
         client.close()
-        await asyncio.sleep(0.2)
-    for relay in relays:
-        relay.stop()
-    statuses = [answer.status for answer in answers]
-    ran = sum(len(machine.upstream.runs) for machine in boards)
-    bed.record.say(f"{_UPLOADS} uploads got {statuses}, {ran} ran")
-    denied = [
-        status
-        for status in statuses
-        if 300 <= status < 500 and status not in _OWN_PROMISES
+        return answer
+
+    await _sleep_until(removal + _SEND_SECONDS)
+    orders = [asyncio.ensure_future(order(i)) for i in range(_CLIENTS)]
+    await _sleep_until(removal + _EXIT_SECONDS)
+    leaving.upstream.stop()
+    bed.record.write("i-node-1 has ended")
+    answers = await asyncio.gather(*orders)
+    await start
+    await cuts
+    bed.record.say(f"the store has cut {bed.store.cut_watches} watches")
+    late = [
+        run
+        for run in leaving.upstream.runs
+        if run.begun > removal + _DRAIN_SECONDS
     ]
-    if len(denied) <= _MAX_DENIED + _UPLOADS / 500:
+    if not late:
         return []
+    last = max(run.begun for run in late) - removal
+    ids = {run.request_id for run in late}
+    lost = [a.status for a in answers if a.request_id in ids]
     return [
-        f"DENIED: {len(denied)} of {_UPLOADS} proper requests were ended with "
-        f"{sorted(set(denied))} by a machine in touch"
+        f"DRAIN: {len(late)} requests reached i-node-1 up to {last:.1f} s "
+        f"after its entry was removed; their clients got {lost}"
     ]
 
 
