--- a/review/testbed.py
+++ b/review/testbed.py
@@ -19,7 +19,6 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -32,7 +31,6 @@
     "Client",
     "Machine",
     "Record",
-    "Relay",
     "Store",
     "Upstream",
     "build_configuration",
@@ -45,7 +43,6 @@
 _MAX_SECONDS = 110.0
 _READY_SECONDS = 20.0
 _CONNECT_SECONDS = 1.0
-_CHUNK_BYTES = 64 * 1024
 # The store of the small installations: 4 ms an answer, 2,000 calls a second.
 _STORE_SECONDS = 0.004
 _STORE_CALLS_PER_SECOND = 2000
@@ -411,7 +408,6 @@
         self.is_leaving = False
         self.cold_until = 0.0
         self.runs: list[Run] = []
-        self.answered: set[str] = set()
         # Returns the status and the body of the answer to a request.
         self.judge: Callable[[Request], tuple[int, bytes]] = self._accept
         # Given the last answer on a connection when the next request on it is
@@ -504,7 +500,6 @@
         finally:
             self._running -= 1
         status, body = self.judge(request)
-        self.answered.add(request_id)
         self.statuses[request_id] = status
         fields = {
             "Date": time.strftime("%a, %d %b %Y %H:%M:%S GMT", time.gmtime()),
@@ -645,71 +640,6 @@
             parts.append(part[:-2])
 
 
-class Relay:
-    """Relay between nodes with the bandwidth of one machine's link.
-
-    Parameters
-    ----------
-    mbps : float
-        Bandwidth in each direction, 0 for no limit.
-    """
-
-    def __init__(self, mbps: float) -> None:
-        self._bytes_per_second = mbps * 1e6 / 8.0
-        self._free_at = [0.0, 0.0]
-        self._server: asyncio.Server | None = None
-
-    async def start(
-        self, host: str, port: int, to_host: str, to_port: int
-    ) -> None:
-        """Relay connections from one address to another."""
-
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            try:
-                other = await asyncio.open_connection(to_host, to_port)
-            except OSError:
-                writer.transport.abort()
-                return
-            await asyncio.gather(
-                self._copy(reader, other[1], 0), self._copy(other[0], writer, 1)
-            )
-
-        self._server = await asyncio.start_server(serve, host, port)
-
-    def stop(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
-
-    async def _copy(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        direction: int,
-    ) -> None:
-        try:
-            while data := await reader.read(_CHUNK_BYTES):
-                await self._wait(len(data), direction)
-                writer.write(data)
-                await writer.drain()
-        except ConnectionError:
-            pass
-        finally:
-            writer.close()
-
-    async def _wait(self, size: int, direction: int) -> None:
-        """Wait until the link has carried the bytes."""
-        if not self._bytes_per_second:
-            return
-        now = time.monotonic()
-        free_at = max(self._free_at[direction], now)
-        free_at += size / self._bytes_per_second
-        self._free_at[direction] = free_at
-        await asyncio.sleep(free_at - now)
-
-
 @dataclasses.dataclass
 class Machine:
     """A machine: its node process and its upstream."""
@@ -722,7 +652,6 @@
     settings: pathlib.Path
     log: pathlib.Path
     process: asyncio.subprocess.Process | None = None
-    ends: list[int] = dataclasses.field(default_factory=list)
 
     async def start(self) -> None:
         """Start the node with the command of the deploy file."""
@@ -751,20 +680,6 @@
         if self.process is not None:
             await self.process.wait()
 
-    def read_memory(self) -> int:
-        """Return the resident bytes of the node, 0 if it does not run."""
-        if self.process is None or self.process.returncode is not None:
-            return 0
-        try:
-            path = pathlib.Path(f"/proc/{self.process.pid}/status")
-            text = path.read_text()
-        except OSError:
-            return 0
-        for line in text.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) * 1024
-        return 0
-
     async def is_ready(self) -> bool:
         """Return whether the node says that it is ready."""
         try:
@@ -814,23 +729,18 @@
         }
         self.store = Store(self.record)
         self.machines: list[Machine] = []
-        self._tasks: list[asyncio.Task] = []
 
     async def add_machine(
         self,
         name: str,
         service: str,
         zone: str = "zone-a",
-        *,
-        memory_mb: int = 300,
-        link_mbps: float = 1000.0,
-        peer_port: int | None = None,
     ) -> Machine:
         """Add a machine with its upstream and publish the upstream."""
         host = f"{self._network}.{len(self.machines) + 1}"
         upstream = Upstream(f"i-{name}", service, self.record)
         await upstream.start(host, self.ports["app"])
-        peers = peer_port or self.ports["peers"]
+        peers = self.ports["peers"]
         settings = {
             "node": name,
             "role": "sidecar",
@@ -851,9 +761,9 @@
             "limits": {
                 "cpu_share": 0.86,
                 "cores": 2,
-                "memory_mb": memory_mb,
+                "memory_mb": 300,
                 "max_fds": 4100,
-                "link_mbps": link_mbps,
+                "link_mbps": 1000.0,
                 "disk_mb": 0,
             },
             "data_dir": None,
@@ -935,54 +845,15 @@
                 await asyncio.sleep(0.05)
         self.record.write("all nodes are ready")
 
-    def enforce_memory(self, memory_mb: int, restart_seconds: float) -> None:
-        """Kill nodes that exceed their memory and start them again."""
-        for machine in self.machines:
-            self._tasks.append(
-                asyncio.ensure_future(
-                    self._enforce(machine, memory_mb, restart_seconds)
-                )
-            )
-
-    async def _enforce(
-        self, machine: Machine, memory_mb: int, restart_seconds: float
-    ) -> None:
-        while True:
-            await asyncio.sleep(0.01)
-            used = machine.read_memory()
-            if used <= memory_mb * 1024 * 1024:
-                continue
-            self.record.say(
-                f"platform: {machine.name} holds {used / 1e6:.0f} MB, more "
-                f"than {memory_mb} MB, and is killed"
-            )
-            machine.ends.append(used)
-            await machine.kill()
-            await asyncio.sleep(restart_seconds)
-            await machine.start()
-
     async def stop(self) -> None:
         """End all processes and servers."""
-        for task in self._tasks:
-            task.cancel()
         for machine in self.machines:
             await machine.kill()
             machine.upstream.stop()
         self.store.stop()
-        keep = os.environ.get("KEEP_LOGS")
-        if keep:
-            for machine in self.machines:
-                path = pathlib.Path(keep) / machine.log.name
-                path.write_bytes(machine.log.read_bytes())
         self._temporary.cleanup()
 
 
-def find_free_ports() -> None:
-    """Raise OSError if loopback addresses cannot be used."""
-    with socket.socket() as probe:
-        probe.bind(("127.70.1.1", 0))
-
-
 def main(
     folder: pathlib.Path,
     scenario: Callable[[Bed], Coroutine[Any, Any, list[str]]],
