Wait after answers of the store that lead to no progress

Cause: after 410 a reader listed all items at once and watched again at once. A list whose revision is lower than the known one changes nothing, so the next watch got 410 again. The same loop ran without a pause for a store whose watches return early without events, and made one call for each change below the operators' prefix, however many there were.

Change: 410 and a watch that ends early without events are followed by the pause that failed calls have, which doubles until a watch has succeeded; a list alone does not shorten it. Watches of operators' items pause within a quarter of the read rate of all nodes, as those of targets do within half.

Evidence: the new tests of the reader count calls over 10 s for a rate of 20 a second.

--- a/cyclamenwell/platform/tests/fake_store.py
+++ b/cyclamenwell/platform/tests/fake_store.py
@@ -41,7 +41,10 @@
     Notes
     -----
     `mode` is ``up``, ``refusing`` (503 to all requests), ``silent`` (no
-    responses) or ``losing`` (connections are closed before the response).
+    responses), ``losing`` (connections are closed before the response),
+    ``forgetting`` (410 to all watches), ``older`` (the same, and lists of all
+    items are at revision 1) or ``hasty`` (watches return at once without
+    events).
     Serializable reads return the items at the last call of `hold_stale_reads`,
     if there was one.
     """
@@ -131,7 +134,7 @@
             if self.mode == "silent":
                 await asyncio.sleep(_IDLE_TIMEOUT.seconds)
             status, body = 503, {}
-            if self.mode == "up":
+            if self.mode not in ("refusing", "silent"):
                 status, body = await self._answer(received.request.path)
             encoded = json.dumps(body).encode()
             head = (
@@ -148,9 +151,12 @@
                 self.full_reads += 1
             elif self._stale_items is not None:
                 items = self._take_stale_items()
-            return 200, self._read_range(
+            answer = self._read_range(
                 items, query["prefix"], query.get("after", "")
             )
+            if self.mode == "older":
+                answer["store_revision"] = 1
+            return 200, answer
         return await self._watch(
             query["prefix"], int(query["after"]), int(query["wait_ms"])
         )
@@ -181,6 +187,10 @@
         while True:
             if after < self._compacted_revision:
                 return 410, {}
+            if self.mode in ("forgetting", "older"):
+                return 410, {}
+            if self.mode == "hasty":
+                return 200, {"events": [], "store_revision": self.revision}
             events = [
                 _encode(item)
                 for item in self._history
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
@@ -37,14 +38,41 @@
 # Other nodes confirm the first read of a node within this time.
 _CONFIRMATION_WAIT = clock.Milliseconds(1500)
 _CONFIRMATION_CHECK = clock.Milliseconds(20)
-# Part of the store's read rate that watches of the targets may use while each
-# of them returns immediately; the rest is for starts and other watches.
-_WATCH_RATE_PART = 0.5
+# Parts of the store's read rate that watches of the targets and of operators'
+# items may use while each of them returns immediately; the rest is for starts.
+_TARGET_RATE_PART = 0.5
+_OPERATOR_RATE_PART = 0.25
 # If other nodes have heard from the store within this time, only this node has
 # lost it, and no entries have lapsed.
 _MIN_OUTAGE = clock.Milliseconds(1000)
 _MIN_BACKOFF = clock.Milliseconds(150)
 _MAX_BACKOFF = clock.Milliseconds(2000)
+# A watch that ends without changes before this part of its wait was cut.
+_MIN_WAITED_PART = 0.5
+
+
+class _Backoff:
+    """Pauses of a loop, which double until an answer leads to progress.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Source of jitter.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._random = generator
+        self._pause = _MIN_BACKOFF
+
+    async def wait(self) -> None:
+        """Wait for the present pause and lengthen the next one."""
+        jitter = self._random.uniform(0.5, 1.0)
+        pause, self._pause = self._pause, min(self._pause * 2, _MAX_BACKOFF)
+        await asyncio.sleep((pause * jitter).seconds)
+
+    def reset(self) -> None:
+        """Begin again with the shortest pause."""
+        self._pause = _MIN_BACKOFF
 
 
 class StoreReader:
@@ -79,7 +107,7 @@
             self._state.operators,
             self._state.apply_operators,
             _OPERATOR_WATCH_WAIT,
-            lambda: clock.ZERO,
+            self._find_operator_pause,
         )
 
     async def watch_targets(self) -> None:
@@ -101,27 +129,40 @@
         find_pause: Callable[[], clock.Milliseconds],
     ) -> None:
         """List all items, then watch for changes, until cancelled."""
-        backoff = _MIN_BACKOFF
+        backoff = _Backoff(self._random)
         is_listed = await self._begin(prefix, replica, apply)
         while True:
             if is_listed:
                 await self._wait_for_duty(prefix)
+            asked_at = self._time.now()
+            watch_wait = wait * self._random.uniform(
+                1.0 - _WAIT_SPREAD, 1.0 + _WAIT_SPREAD
+            )
             try:
                 if is_listed:
-                    changes = await self._watch(prefix, replica.revision, wait)
+                    changes = await self._watch(
+                        prefix, replica.revision, watch_wait
+                    )
                 else:
                     changes = await self._list_all(prefix)
             except store.HistoryLostError as error:
                 self._log.record("store.history_lost", error=str(error))
                 is_listed = False
+                await backoff.wait()
                 continue
             except (OSError, exceptions.CyclamenwellError) as error:
                 self._record_loss(prefix, error)
-                jitter = self._random.uniform(0.5, 1.0)
-                await asyncio.sleep((backoff * jitter).seconds)
-                backoff = min(backoff * 2, _MAX_BACKOFF)
+                await backoff.wait()
                 continue
-            backoff = _MIN_BACKOFF
+            waited = self._time.now() - asked_at
+            is_cut = (
+                is_listed
+                and not changes.items
+                and waited < watch_wait * _MIN_WAITED_PART
+            )
+            # A list alone is no progress: the next watch may fail again.
+            if is_listed and not is_cut:
+                backoff.reset()
             is_listed = True
             # Has to precede `apply`: the first answer after an outage already
             # lacks the entries that expired in it.
@@ -129,6 +170,8 @@
             self._record_rejections(changes)
             apply(changes)
             self._state.note_fresh_read(prefix)
+            if is_cut:
+                await backoff.wait()
             jitter = self._random.uniform(
                 1.0 - _PAUSE_SPREAD, 1.0 + _PAUSE_SPREAD
             )
@@ -182,16 +225,23 @@
             reader_silence_ms=self._duty.reader_silence.value,
         )
 
+    def _find_operator_pause(self) -> clock.Milliseconds:
+        """Return the average pause, within the read rate of all nodes."""
+        return self._find_rate_pause(_OPERATOR_RATE_PART)
+
     def _find_target_pause(self) -> clock.Milliseconds:
         """Return the average pause, within the read rate of all nodes."""
-        readers = self._duty.readers
-        rate = self._reads_per_second * _WATCH_RATE_PART
         return max(
             _MIN_TARGET_PAUSE,
-            _TARGET_PAUSE_PER_READER * readers,
-            clock.Milliseconds(readers / rate * 1000.0),
+            _TARGET_PAUSE_PER_READER * self._duty.readers,
+            self._find_rate_pause(_TARGET_RATE_PART),
         )
 
+    def _find_rate_pause(self, rate_part: float) -> clock.Milliseconds:
+        """Return the pause with which all readers use a part of the rate."""
+        rate = self._reads_per_second * rate_part
+        return clock.Milliseconds(self._duty.readers / rate * 1000.0)
+
     async def _list_all(
         self, prefix: str, may_be_stale: bool = False
     ) -> deployment.PrefixChanges:
@@ -224,7 +274,6 @@
         after: int,
         wait: clock.Milliseconds,
     ) -> deployment.PrefixChanges:
-        wait *= self._random.uniform(1.0 - _WAIT_SPREAD, 1.0 + _WAIT_SPREAD)
         path = store.build_watch_path(prefix, after, wait)
         status, body = await self._call("watch", path, wait + _WATCH_MARGIN)
         return store.decode_watch(status, body, after)
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -8,6 +8,8 @@
 import contextlib
 import random
 
+import pytest
+
 from cyclamenwell import clock
 from cyclamenwell.configuration import published
 from cyclamenwell.configuration import store_duty
@@ -20,6 +22,7 @@
 from cyclamenwell.sidecar.tests import builders
 
 _REAPPEARANCE = clock.Milliseconds(2000)
+_COUNTED = clock.Milliseconds(10_000)
 
 
 @contextlib.asynccontextmanager
@@ -28,6 +31,7 @@
     duty: store_duty.StoreDuty | None = None,
     page_size: int = 500,
     prepare: Callable[[fake_store.FakeStore], object] = lambda store: None,
+    watches_operators: bool = False,
 ) -> AsyncIterator[tuple[fake_store.FakeStore, published.PublishedState]]:
     """Run a reader on a store with one target of the service ``meter``."""
     log = builders.build_log()
@@ -54,12 +58,15 @@
             duty or store_duty.StoreDuty(time, builders.LOOPBACK),
         )
     )
-    task = asyncio.create_task(reader.watch_targets())
+    tasks = [asyncio.create_task(reader.watch_targets())]
+    if watches_operators:
+        tasks.append(asyncio.create_task(reader.watch_operators()))
     try:
         await builders.wait_for(lambda: _has_target(state), "a target")
         yield store, state
     finally:
-        task.cancel()
+        for task in tasks:
+            task.cancel()
         store.stop()
 
 
@@ -207,3 +214,46 @@
             await builders.wait_for(is_removed, "i-0 is removed")
 
     asyncio.run(read_pages())
+
+
+@pytest.mark.parametrize("mode", ["forgetting", "older", "hasty"])
+def test_calls_without_progress_stay_below_the_rate_of_the_store(mode):
+    """Guards against calls without a pause after answers of no use.
+
+    A store whose history is gone, one whose lists are older than what the
+    node knows, and one that does not wait lead to the same call again.
+    """
+
+    async def count_calls() -> None:
+        rate = 20.0
+        async with _run_reader(
+            reads_per_second=rate, watches_operators=True
+        ) as (store, _):
+            store.put("op/other/1", b"")
+            await asyncio.sleep(0.2)
+            store.mode = mode
+            if mode == "older":
+                store.put("op/other/2", b"")
+                store.forget_history()
+            before = store.reads
+            await asyncio.sleep(_COUNTED.seconds)
+            assert store.reads - before <= rate * _COUNTED.seconds
+
+    asyncio.run(count_calls())
+
+
+def test_changes_by_operators_stay_below_the_rate_of_the_store():
+    """Guards against a call for each of many changes at the same time."""
+
+    async def change_continuously() -> None:
+        rate = 20.0
+        async with _run_reader(
+            reads_per_second=rate, watches_operators=True
+        ) as (store, _):
+            before = store.reads
+            for number in range(400):
+                store.put(f"op/other/{number}", b"")
+                await asyncio.sleep(0.005)
+            assert store.reads - before <= rate * 2.0
+
+    asyncio.run(change_continuously())
