Order what the store says by its era, then by revision

Cause: revisions go back and are given out again, and everything compared them as if they only grew: the replica (lists and single items), the watch position, gossip (who is ahead, what has been announced) and the removals. A change below the last revision of the lost history was dropped as old. Nothing read the era that the store states in each answer.

Change: a position is an era and a revision, compared in this order. - The reader takes the era from each answer. A watch answered in another era has no history that continues the known one, so all items are listed; pages of two eras, or of an earlier one, are not applied. - A whole list of a later era replaces all items of a prefix. Changes of an earlier era, or of a later one without a list, change nothing. - Messages between nodes name the era. A node in an earlier era is sent the whole list of the later one. Nodes of versions without eras are understood as before until this node has seen a return; then nothing is taken from them, since they may still hold what was lost. - What a starting node has read first may be stale, also older than the era of its answer. A fresh list replaces it whatever the revision. - The version in force does not go back: a lower one was ignored before, too. An answer without an era, or with one that cannot be read, belongs to the known era; the latter is logged. Each era taken over is logged and counted.

--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -4,18 +4,23 @@
 carries the revision of its last change, and each prefix the revision up to
 which it is complete. Updates from both sources can therefore be merged, and
 no item goes back to an older revision.
+
+A store that returns from an older copy gives out its last revisions again. It
+begins a new era then, so the order of two positions is by era first, then by
+revision, and no history leads from one era to the next.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 
 from cyclamenwell import clock
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
 
-__all__ = ["PrefixReplica", "PublishedState"]
+__all__ = ["EraChange", "PrefixReplica", "PublishedState"]
 
 # Removals kept so that a peer can be sent changes only. A peer that is further
 # behind is sent all items.
@@ -26,6 +31,28 @@
 _SAME_OUTAGE_TOLERANCE = clock.Milliseconds(500)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EraChange:
+    """The begin of a new era of the store, as a replica takes it over.
+
+    Parameters
+    ----------
+    before : int
+        Era until now, 0 if it was unknown.
+    era : int
+        The new era.
+    last_revision : int
+        Revision up to which the items of the earlier era were complete.
+    revision : int
+        Revision up to which the items of the new era are complete.
+    """
+
+    before: int
+    era: int
+    last_revision: int
+    revision: int
+
+
 class PrefixReplica:
     """Copy of the items under one prefix, complete up to a revision."""
 
@@ -33,8 +60,15 @@
         self._items: dict[str, deployment.PublishedItem] = {}
         self._removals: dict[str, int] = {}
         self._history_start = 0  # Later changes can be listed.
+        # Era of the store to which all revisions here belong, 0 if unknown.
+        self.era = 0
         self.revision = 0
         self.change_revision = 0
+        # Whether the items are from a read that may have been stale. They may
+        # also be older than the era in which they were read.
+        self.is_provisional = False
+        # Whether the store has returned from an older copy.
+        self.has_returned = False
 
     @property
     def known_revision(self) -> int:
@@ -50,15 +84,49 @@
         """Items that are not removed."""
         return self._items.values()
 
+    def lacks(self, era: int | None, revision: int) -> bool:
+        """Return whether a peer knows changes that this replica lacks.
+
+        Parameters
+        ----------
+        era : int or None
+            Era of the peer's replica, None if its version knows no eras.
+        revision : int
+            Revision of the peer's newest change.
+        """
+        if era is None and self.has_returned:
+            return False
+        if era is None or era == self.era:
+            return revision > self.change_revision
+        return era > self.era
+
+    def is_ahead_of(self, era: int | None, revision: int) -> bool:
+        """Return whether a peer lacks changes that are known here.
+
+        Parameters
+        ----------
+        era : int or None
+            Era of the peer's replica, None if its version knows no eras.
+        revision : int
+            Revision up to which the peer knows all changes.
+        """
+        if era is None or era == self.era:
+            return self.change_revision > revision
+        return self.era > era
+
     def apply(
-        self, changes: deployment.PrefixChanges
+        self, changes: deployment.PrefixChanges, is_confirmed: bool = False
     ) -> list[deployment.PublishedItem]:
         """Merge changes and return the items that changed here.
 
         Parameters
         ----------
         changes : deployment.PrefixChanges
-            Changes after a base revision, or all items.
+            Changes after a base revision, or all items. Without an era they
+            are taken to be of this replica's, until the store has returned
+            from an older copy.
+        is_confirmed : bool
+            Whether the store has confirmed the changes.
 
         Returns
         -------
@@ -67,6 +135,14 @@
             are older than this replica or leave a gap after its revision.
         """
         is_whole = changes.base < 0
+        if changes.era is None and self.has_returned:
+            return []
+        era = self.era if changes.era is None else changes.era
+        if era < self.era:
+            return []
+        replaces = self.is_provisional and is_confirmed
+        if era > self.era or (replaces and is_whole):
+            return self._replace(changes, era) if is_whole else []
         if changes.revision < self.revision:
             return []
         if not is_whole and changes.base > self.revision:
@@ -81,30 +157,65 @@
         self.revision = changes.revision
         return changed_items
 
-    def list_changes(self, base: int) -> deployment.PrefixChanges:
+    def list_all(self) -> deployment.PrefixChanges:
+        """Return all items."""
+        return deployment.PrefixChanges(
+            -1, self.revision, tuple(self._items.values()), self.era
+        )
+
+    def list_changes(
+        self, base: int, era: int | None = None
+    ) -> deployment.PrefixChanges:
         """Return the changes that a peer lacks.
 
         Parameters
         ----------
         base : int
             Revision up to which the peer is complete.
+        era : int or None
+            Era of that revision, None if the peer's version knows no eras.
 
         Returns
         -------
         deployment.PrefixChanges
-            Changes after `base`, or all items if it is too old to list changes.
+            Changes after `base`, or all items if it is too old to list changes
+            or belongs to another era.
         """
-        if base < self._history_start or not base:
-            return deployment.PrefixChanges(
-                -1, self.revision, tuple(self._items.values())
-            )
+        is_same_era = not self.has_returned if era is None else era == self.era
+        if base < self._history_start or not base or not is_same_era:
+            return self.list_all()
         changed = [i for i in self._items.values() if i.revision > base]
         changed += [
             deployment.PublishedItem(key, revision, removed=True)
             for key, revision in self._removals.items()
             if revision > base
         ]
-        return deployment.PrefixChanges(base, self.revision, tuple(changed))
+        return deployment.PrefixChanges(
+            base, self.revision, tuple(changed), self.era
+        )
+
+    def _replace(
+        self, changes: deployment.PrefixChanges, era: int
+    ) -> list[deployment.PublishedItem]:
+        """Take a whole list in place of all items and begin its era."""
+        before = self._items
+        self.has_returned = self.has_returned or 0 < self.era < era
+        self._items = {item.key: item for item in changes.items}
+        self._removals.clear()
+        self.era = era
+        self.revision = self._history_start = changes.revision
+        self.change_revision = max(
+            (item.revision for item in changes.items), default=0
+        )
+        self.change_revision = max(self.change_revision, changes.revision)
+        changed_items = [
+            item for key, item in self._items.items() if before.get(key) != item
+        ]
+        return changed_items + [
+            deployment.PublishedItem(key, changes.revision, removed=True)
+            for key in before
+            if key not in self._items
+        ]
 
     def _merge(self, item: deployment.PublishedItem) -> bool:
         known = self._items.get(item.key)
@@ -180,8 +291,7 @@
         self._by_address: dict[tuple[str, int], deployment.TargetEntry] = {}
         self._by_service: dict[str, tuple[deployment.TargetEntry, ...]] = {}
         self._hosts: tuple[str, ...] = ()
-        # Prefixes whose items are from a read that may have been stale.
-        self._unconfirmed: set[str] = set()
+        self._era_listeners: list[Callable[[EraChange], None]] = []
 
     @property
     def is_complete(self) -> bool:
@@ -191,30 +301,19 @@
         read or another node has confirmed them: they may hold a key that has
         been withdrawn since, or a target that has left.
         """
-        if self._unconfirmed:
+        if self.has_unconfirmed:
             return False
         return self.configuration is not None and self.targets.revision > 0
 
     @property
     def has_unconfirmed(self) -> bool:
         """Whether any item may be from a stale read."""
-        return bool(self._unconfirmed)
-
-    def is_unconfirmed(self, prefix: str) -> bool:
-        """Return whether items of a prefix may be stale."""
-        return prefix in self._unconfirmed
-
-    def note_stale_read(self, prefix: str) -> None:
-        """Note that the items of a prefix may be stale."""
-        self._unconfirmed.add(prefix)
-
-    def note_fresh_read(self, prefix: str) -> None:
-        """Note that the store has confirmed the items of a prefix."""
-        self._unconfirmed.discard(prefix)
+        return self.operators.is_provisional or self.targets.is_provisional
 
     def note_confirmation(self) -> None:
         """Note that another node has confirmed all items."""
-        self._unconfirmed.clear()
+        self.operators.is_provisional = False
+        self.targets.is_provisional = False
 
     def add_listener(
         self, listener: Callable[[list[deployment.PublishedItem]], None]
@@ -222,6 +321,10 @@
         """Register a function to call with the changed items."""
         self._listeners.append(listener)
 
+    def add_era_listener(self, listener: Callable[[EraChange], None]) -> None:
+        """Register a function to call after a change of the store's era."""
+        self._era_listeners.append(listener)
+
     def note_outage_end(self, age: clock.Milliseconds = clock.ZERO) -> None:
         """Start the grace period after an outage of the store.
 
@@ -245,9 +348,19 @@
         """Return whether the end of an outage after some time is known."""
         return self._outage_end is not None and self._outage_end >= begin
 
-    def apply_operators(self, changes: deployment.PrefixChanges) -> None:
-        """Merge changes to items published by operators."""
-        changed_items = self.operators.apply(changes)
+    def apply_operators(
+        self, changes: deployment.PrefixChanges, is_confirmed: bool = False
+    ) -> None:
+        """Merge changes to items published by operators.
+
+        Parameters
+        ----------
+        changes : deployment.PrefixChanges
+            The changes.
+        is_confirmed : bool
+            Whether the store has confirmed them.
+        """
+        changed_items = self._apply(self.operators, changes, is_confirmed)
         if not changed_items:
             return
         for item in changed_items:
@@ -264,9 +377,19 @@
         )
         self._notify_listeners(changed_items)
 
-    def apply_targets(self, changes: deployment.PrefixChanges) -> None:
-        """Merge changes to target entries."""
-        changed_items = self.targets.apply(changes)
+    def apply_targets(
+        self, changes: deployment.PrefixChanges, is_confirmed: bool = False
+    ) -> None:
+        """Merge changes to target entries.
+
+        Parameters
+        ----------
+        changes : deployment.PrefixChanges
+            The changes.
+        is_confirmed : bool
+            Whether the store has confirmed them.
+        """
+        changed_items = self._apply(self.targets, changes, is_confirmed)
         if not changed_items:
             return
         self._update_expired(changed_items)
@@ -307,6 +430,21 @@
             hosts.setdefault(entry.data_centre, set()).add(entry.host)
         return hosts
 
+    def _apply(
+        self,
+        replica: PrefixReplica,
+        changes: deployment.PrefixChanges,
+        is_confirmed: bool,
+    ) -> list[deployment.PublishedItem]:
+        """Merge changes into a replica and tell of a change of its era."""
+        era, revision = replica.era, replica.revision
+        changed_items = replica.apply(changes, is_confirmed)
+        if era < replica.era:
+            change = EraChange(era, replica.era, revision, replica.revision)
+            for listener in self._era_listeners:
+                listener(change)
+        return changed_items
+
     def _is_in_grace(self) -> bool:
         if self._outage_end is None:
             return False
--- a/cyclamenwell/configuration/tests/published_builders.py
+++ b/cyclamenwell/configuration/tests/published_builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
 
@@ -75,23 +77,36 @@
     return deployment.PrefixChanges(base, revision, items)
 
 
+def in_era(
+    era: int, changes: deployment.PrefixChanges
+) -> deployment.PrefixChanges:
+    """Return changes of an era of the store."""
+    return dataclasses.replace(changes, era=era)
+
+
 class StoreModel:
     """Reference model of a store that keeps its items and their history."""
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
         self._items: dict[str, deployment.PublishedItem] = {}
         self._history: list[deployment.PublishedItem] = []
 
+    @property
+    def items(self) -> dict[str, deployment.PublishedItem]:
+        """Items by key."""
+        return dict(self._items)
+
     @property
     def revisions(self) -> dict[str, int]:
         """Revision of each item, by key."""
         return {key: item.revision for key, item in self._items.items()}
 
-    def put(self, target_id: str) -> None:
+    def put(self, target_id: str, **changes) -> None:
         """Write the item of a target."""
         self.revision += 1
-        item = build_target(target_id, self.revision)
+        item = build_target(target_id, self.revision, **changes)
         self._items[item.key] = item
         self._history.append(item)
 
@@ -102,11 +117,27 @@
             self.revision += 1
             self._history.append(item)
 
+    def go_back(self, revision: int) -> None:
+        """Return to what the store held at a revision, in a new era."""
+        self.era += 1
+        self.revision = min(self.revision, max(revision, 1))
+        self._history = [
+            item for item in self._history if item.revision <= self.revision
+        ]
+        self._items = {}
+        for item in self._history:
+            if item.removed:
+                self._items.pop(item.key, None)
+            else:
+                self._items[item.key] = item
+
     def read(self) -> deployment.PrefixChanges:
         """Return all items."""
-        return list_all(self.revision, *self._items.values())
+        return in_era(self.era, list_all(self.revision, *self._items.values()))
 
     def watch(self, after: int) -> deployment.PrefixChanges:
         """Return the last change of each item changed after a revision."""
         changed = {i.key: i for i in self._history if i.revision > after}
-        return list_after(after, self.revision, *changed.values())
+        return in_era(
+            self.era, list_after(after, self.revision, *changed.values())
+        )
--- a/cyclamenwell/platform/names.py
+++ b/cyclamenwell/platform/names.py
@@ -18,6 +18,7 @@
     "SERVER_LEAVING",
     "SERVER_LIMIT",
     "SETTINGS_VARIABLE",
+    "STORE_ERA",
     "TARGET_INSTANCE",
     "TARGET_PREFIX",
     "TENANT",
@@ -38,6 +39,7 @@
 RETRY_AFTER = "retry-after"
 SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
+STORE_ERA = "store-era"
 TARGET_INSTANCE = "target-instance"
 TENANT = "tenant"
 
--- a/cyclamenwell/platform/store.py
+++ b/cyclamenwell/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import json
 from typing import Any
@@ -10,7 +11,9 @@
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.generated import deployment
+from cyclamenwell.generated import httpfields
 from cyclamenwell.platform import decoder
+from cyclamenwell.platform import names
 
 __all__ = [
     "HistoryLostError",
@@ -18,16 +21,20 @@
     "build_watch_path",
     "decode_range",
     "decode_watch",
+    "find_era",
+    "parse_era",
 ]
 
 _OK = 200
 _GONE = 410
 # Longest wait that the store accepts for a watch.
 MAX_WATCH_WAIT = clock.Milliseconds(30_000)
+# Messages between nodes carry numbers of 63 bits.
+_MAX_ERA_DIGITS = 18
 
 
 class HistoryLostError(exceptions.PlatformError):
-    """The store has discarded the changes after a revision."""
+    """The store has no changes that follow the known revision."""
 
 
 def build_range_path(
@@ -73,6 +80,24 @@
     return _build_path("/v1/kv-watch", query)
 
 
+def find_era(headers: Iterable[httpfields.Header]) -> str:
+    """Return the text of the era that an answer states, empty for none."""
+    for header in headers:
+        if header.name == names.STORE_ERA:
+            return header.value
+    return ""
+
+
+def parse_era(text: str) -> int | None:
+    """Return the era of the store, None if it cannot be read.
+
+    The store begins a new era when it returns from an older copy.
+    """
+    if not text.isascii() or not text.isdigit():
+        return None
+    return int(text) if len(text) <= _MAX_ERA_DIGITS else None
+
+
 def _build_path(path: str, query: dict[str, str]) -> str:
     return f"{path}?{urllib.parse.urlencode(query)}"
 
--- a/cyclamenwell/platform/tests/fake_store.py
+++ b/cyclamenwell/platform/tests/fake_store.py
@@ -11,14 +11,23 @@
 
 from cyclamenwell import clock
 from cyclamenwell.node import http1
+from cyclamenwell.platform import names
 from cyclamenwell.sidecar import streams
 from cyclamenwell.telemetry import structured_log
 
-__all__ = ["FakeStore"]
+__all__ = ["Copy", "FakeStore"]
 
 _IDLE_TIMEOUT = clock.Milliseconds(60_000)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """What a store held at a revision."""
+
+    revision: int
+    items: dict[str, _Item]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Item:
     """A revision of an item; `value` is None if the item was removed."""
@@ -60,6 +69,8 @@
         self._changed = asyncio.Event()
         self._server: streams.Listener | None = None
         self.revision = 1
+        # Text of the header that names the era, None to leave it out.
+        self.era: str | None = "1"
         self.mode = "up"
         self.reads = 0
         self.full_reads = 0  # Of all items of a prefix, not serializable.
@@ -106,6 +117,20 @@
         self._history.clear()
         self._notify_watches()
 
+    def take_copy(self) -> Copy:
+        """Return a copy of what the store holds."""
+        return Copy(self.revision, dict(self._items))
+
+    def restore(self, copy: Copy, era: str | None = "2") -> None:
+        """Return to an earlier copy; what was written since is gone."""
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = [
+            item for item in self._history if item.revision <= copy.revision
+        ]
+        self.era = era
+        self._notify_watches()
+
     def _write(self, key: str, value: bytes | None) -> None:
         self.revision += 1
         item = _Item(key, self.revision, value)
@@ -137,10 +162,10 @@
             if self.mode not in ("refusing", "silent"):
                 status, body = await self._answer(received.request.path)
             encoded = json.dumps(body).encode()
-            head = (
-                f"HTTP/1.1 {status} X\r\ncontent-length: {len(encoded)}\r\n\r\n"
-            )
-            stream.send(head.encode() + encoded)
+            head = f"HTTP/1.1 {status} X\r\ncontent-length: {len(encoded)}\r\n"
+            if self.era is not None:
+                head += f"{names.STORE_ERA}: {self.era}\r\n"
+            stream.send(head.encode() + b"\r\n" + encoded)
 
     async def _answer(self, path: str) -> tuple[int, dict[str, Any]]:
         url = urllib.parse.urlsplit(path)
@@ -185,7 +210,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_ms / 1000.0
         while True:
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self.revision:
                 return 410, {}
             if self.mode in ("forgetting", "older"):
                 return 410, {}
--- a/cyclamenwell/sidecar/gossip.py
+++ b/cyclamenwell/sidecar/gossip.py
@@ -58,8 +58,9 @@
         self._known_hosts: set[str] = set()
         # Hosts of the published targets by the keys of their items.
         self._hosts_by_key: dict[str, str] = {}
-        self._announced_revision = 0
-        self._announced_target_revision = 0
+        # Era and revision of the newest changes that peers were notified of.
+        self._announced_operators = (0, 0)
+        self._announced_targets = (0, 0)
         self._is_target_push_due = False
         self._duty = context.duty
 
@@ -68,10 +69,10 @@
         if message.host == self._settings.host:
             return
         self._known_hosts.add(message.host)
-        is_ahead = (
-            message.operator_revision > self._state.operators.change_revision
-            or message.target_revision > self._state.targets.change_revision
-        )
+        state = self._state
+        is_ahead = state.operators.lacks(
+            message.operator_era, message.operator_revision
+        ) or state.targets.lacks(message.target_era, message.target_revision)
         if is_ahead:
             self._schedule([message.host])
 
@@ -83,9 +84,10 @@
         to the nodes beside targets that leave.
         """
         leaving_hosts = self._list_leaving_hosts(changes)
-        revision = self._state.operators.change_revision
-        if revision > self._announced_revision:
-            self._announced_revision = revision
+        operators, targets = self._state.operators, self._state.targets
+        newest = (operators.era, operators.change_revision)
+        if newest > self._announced_operators:
+            self._announced_operators = newest
             self._push()
         if self._state.hosts and not self._state.is_complete:
             self._add_confirming_peers()
@@ -93,9 +95,9 @@
             return
         if self._duty.is_reader:
             self._schedule(leaving_hosts)
-        revision = self._state.targets.change_revision
-        if revision > self._announced_target_revision:
-            self._announced_target_revision = revision
+        newest = (targets.era, targets.change_revision)
+        if newest > self._announced_targets:
+            self._announced_targets = newest
             self._schedule_target_push()
 
     def _push(self) -> None:
@@ -225,6 +227,8 @@
             store_age_ms=(
                 self._duty.store_age_ms if state.is_complete else None
             ),
+            operator_era=state.operators.era,
+            target_era=state.targets.era,
         )
         try:
             reply = await self._links.call(host, message, _REPLY_TIMEOUT)
@@ -238,6 +242,7 @@
         if reply.since_outage_ms is not None and self._duty.has_learners:
             # Has to precede the changes, which lack the lapsed entries.
             state.note_outage_end(clock.Milliseconds(reply.since_outage_ms))
+        is_confirmed = reply.store_age_ms is not None
         if reply.operator_changes is not None:
             self._log.record(
                 "state.learned",
@@ -245,7 +250,7 @@
                 what="operators",
                 revision=reply.operator_changes.revision,
             )
-            state.apply_operators(reply.operator_changes)
+            state.apply_operators(reply.operator_changes, is_confirmed)
         if reply.target_changes is not None:
             self._log.record_routine(
                 "state.learned",
@@ -253,8 +258,8 @@
                 what="targets",
                 revision=reply.target_changes.revision,
             )
-            state.apply_targets(reply.target_changes)
-        if reply.store_age_ms is not None:
+            state.apply_targets(reply.target_changes, is_confirmed)
+        if is_confirmed:
             self._confirm(host)
         self._duty.note_contact(
             _read_age(reply.store_age_ms),
--- a/cyclamenwell/sidecar/metrics.py
+++ b/cyclamenwell/sidecar/metrics.py
@@ -30,6 +30,7 @@
         "Messages about limits of organisations.",
         ("kind", "outcome"),
     ),
+    "store_eras": ("Eras of the platform's store that were taken over.", ()),
     "store_calls": ("Calls to the platform's store.", ("kind", "outcome")),
 }
 
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
+import dataclasses
 import gc
 import math
 import pathlib
@@ -139,6 +140,7 @@
         self._store_reader = store_reader.StoreReader(context)
         self._operations = operations.Operations(self._is_ready, self._metrics)
         self._state.add_listener(self._apply_state)
+        self._state.add_era_listener(self._record_era)
 
     async def run(self) -> None:
         """Run until the graceful stop after SIGTERM has finished."""
@@ -245,6 +247,10 @@
         self._node.rate_limiter.set_fleet_size(nodes)
         self._node.gossip.notify_peers(changes)
 
+    def _record_era(self, change: published.EraChange) -> None:
+        self._metrics.count("store_eras")
+        self._log.record("store.era", **dataclasses.asdict(change))
+
     async def _watch_settings(self) -> None:
         """Validate the settings file after SIGHUP and after each change.
 
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import random
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
 from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
+from cyclamenwell.node import calls
 from cyclamenwell.node import encoding
 from cyclamenwell.platform import names
 from cyclamenwell.platform import store
@@ -124,7 +126,7 @@
         self,
         prefix: str,
         replica: published.PrefixReplica,
-        apply: Callable[[deployment.PrefixChanges], None],
+        apply: Callable[..., None],
         wait: clock.Milliseconds,
         find_pause: Callable[[], clock.Milliseconds],
     ) -> None:
@@ -140,11 +142,9 @@
             )
             try:
                 if is_listed:
-                    changes = await self._watch(
-                        prefix, replica.revision, watch_wait
-                    )
+                    changes = await self._watch(prefix, replica, watch_wait)
                 else:
-                    changes = await self._list_all(prefix)
+                    changes = await self._list_all(prefix, replica)
             except store.HistoryLostError as error:
                 self._log.record("store.history_lost", error=str(error))
                 is_listed = False
@@ -168,8 +168,8 @@
             # lacks the entries that expired in it.
             self._record_answer()
             self._record_rejections(changes)
-            apply(changes)
-            self._state.note_fresh_read(prefix)
+            apply(changes, is_confirmed=True)
+            replica.is_provisional = False
             if is_cut:
                 await backoff.wait()
             jitter = self._random.uniform(
@@ -181,7 +181,7 @@
         self,
         prefix: str,
         replica: published.PrefixReplica,
-        apply: Callable[[deployment.PrefixChanges], None],
+        apply: Callable[..., None],
     ) -> bool:
         """Read once and let other nodes confirm it; return whether they have.
 
@@ -189,15 +189,15 @@
         a starting node which other nodes there are.
         """
         try:
-            changes = await self._list_all(prefix, may_be_stale=True)
+            changes = await self._list_all(prefix, replica, may_be_stale=True)
         except (OSError, exceptions.CyclamenwellError) as error:
             self._record_loss(prefix, error)
             return False
         if not replica.revision:
-            self._state.note_stale_read(prefix)
+            replica.is_provisional = True
             apply(changes)
         waited = clock.ZERO
-        while self._state.is_unconfirmed(prefix):
+        while replica.is_provisional:
             # Before the targets are read the duty is not known.
             is_awaited = prefix != names.TARGET_PREFIX and (
                 not self._state.targets.revision
@@ -243,7 +243,10 @@
         return clock.Milliseconds(self._duty.readers / rate * 1000.0)
 
     async def _list_all(
-        self, prefix: str, may_be_stale: bool = False
+        self,
+        prefix: str,
+        replica: published.PrefixReplica,
+        may_be_stale: bool = False,
     ) -> deployment.PrefixChanges:
         """Return all items, at the revision of the oldest page.
 
@@ -253,11 +256,13 @@
         after = ""
         items: list[deployment.PublishedItem] = []
         revisions: list[int] = []
+        eras: set[int] = set()
         kind = "stale_range" if may_be_stale else "range"
         while True:
             path = store.build_range_path(prefix, after, may_be_stale)
-            status, body = await self._call(kind, path, _READ_TIMEOUT)
-            page, after = store.decode_range(status, body)
+            answer = await self._call(kind, path, _READ_TIMEOUT)
+            page, after = store.decode_range(answer.status, answer.body)
+            eras.add(self._read_era(answer, replica))
             items += page.items
             if not may_be_stale:
                 revisions.append(page.revision)
@@ -265,23 +270,47 @@
                 revisions.append(max(item.revision for item in page.items))
             if not after:
                 break
+        if len(eras) > 1 or min(eras) < replica.era:
+            raise store.HistoryLostError(
+                f"list of eras {sorted(eras)} does not follow era {replica.era}"
+            )
         revision = min(revisions, default=0)
-        return deployment.PrefixChanges(-1, revision, tuple(items))
+        return deployment.PrefixChanges(-1, revision, tuple(items), min(eras))
 
     async def _watch(
         self,
         prefix: str,
-        after: int,
+        replica: published.PrefixReplica,
         wait: clock.Milliseconds,
     ) -> deployment.PrefixChanges:
+        known_era, after = replica.era, replica.revision
         path = store.build_watch_path(prefix, after, wait)
-        status, body = await self._call("watch", path, wait + _WATCH_MARGIN)
-        return store.decode_watch(status, body, after)
+        answer = await self._call("watch", path, wait + _WATCH_MARGIN)
+        changes = store.decode_watch(answer.status, answer.body, after)
+        era = self._read_era(answer, replica)
+        if era != known_era:
+            # The revision asked for has been given out to another change.
+            raise store.HistoryLostError(
+                f"watch in era {era} after a revision of era {known_era}"
+            )
+        return dataclasses.replace(changes, era=era)
+
+    def _read_era(
+        self, answer: calls.HttpAnswer, replica: published.PrefixReplica
+    ) -> int:
+        """Return the era that an answer states, else the known one."""
+        text = store.find_era(answer.headers)
+        era = store.parse_era(text)
+        if era is not None:
+            return era
+        if text:
+            self._log.record_routine("store.era_unreadable", value=text)
+        return replica.era
 
     async def _call(
         self, kind: str, path: str, timeout: clock.Milliseconds
-    ) -> tuple[int, bytes]:
-        """Send a request and return status and body of its answer."""
+    ) -> calls.HttpAnswer:
+        """Send a request and return its answer."""
         data = encoding.encode_request("GET", path, [("host", self._host)], b"")
         outcome = "failed"
         connection = self._pool.acquire_idle() or await self._pool.open()
@@ -296,7 +325,7 @@
         finally:
             self._metrics.count("store_calls", kind, outcome)
         self._pool.release(connection, _MAX_BACKOFF)
-        return answer.status, answer.body
+        return answer
 
     def _record_rejections(self, changes: deployment.PrefixChanges) -> None:
         for item in changes.items:
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -257,3 +257,86 @@
             assert store.reads - before <= rate * 2.0
 
     asyncio.run(change_continuously())
+
+
+async def _wait_target(state: published.PublishedState, target_id: str) -> None:
+    async def is_known() -> bool:
+        return target_id in state.entries
+
+    await builders.wait_for(is_known, target_id)
+
+
+def _put_target(store: fake_store.FakeStore, number: int) -> None:
+    store.put(
+        f"servers/i-{number}",
+        platform_builders.build_target_value(address=f"10.0.0.{number}:80"),
+    )
+
+
+def test_changes_are_followed_after_the_store_has_gone_back():
+    """Guards against changes that are ignored for good after a return."""
+
+    async def return_from_copy() -> None:
+        async with _run_reader() as (store, state):
+            copy = store.take_copy()
+            for number in range(2, 8):
+                _put_target(store, number)
+            await _wait_target(state, "i-7")
+            store.restore(copy)
+            _put_target(store, 9)
+            await _wait_target(state, "i-9")
+            assert state.targets.era == 2
+
+    asyncio.run(return_from_copy())
+
+
+def test_a_change_at_a_revision_that_was_given_out_again_is_followed():
+    """Guards against a watch that goes on from a change that was lost.
+
+    The store has passed the last known revision again before it is asked.
+    """
+
+    async def return_from_copy() -> None:
+        async with _run_reader() as (store, state):
+            copy = store.take_copy()
+            _put_target(store, 2)
+            await _wait_target(state, "i-2")
+            store.restore(copy)
+            for number in range(3, 6):
+                _put_target(store, number)
+            await _wait_target(state, "i-3")
+            assert state.targets.revision == store.revision
+
+    asyncio.run(return_from_copy())
+
+
+@pytest.mark.parametrize("text", [None, "", "two", "-1", "1.5", "9" * 19])
+def test_answers_without_a_readable_era_belong_to_the_known_one(text):
+    """Guards against a node that stops to follow the store."""
+
+    async def change_text() -> None:
+        async with _run_reader() as (store, state):
+            store.era = text
+            _put_target(store, 2)
+            await _wait_target(state, "i-2")
+            assert state.targets.era == 1
+
+    asyncio.run(change_text())
+
+
+def test_answers_of_an_earlier_era_change_nothing():
+    """Guards against a node that follows a copy of the store left behind."""
+
+    async def fall_back() -> None:
+        async with _run_reader() as (store, state):
+            store.restore(store.take_copy(), era="5")
+            _put_target(store, 2)
+            await _wait_target(state, "i-2")
+            store.era = "4"
+            _put_target(store, 3)
+            await asyncio.sleep(2.0)
+            assert "i-3" not in state.entries
+            store.era = "5"
+            await _wait_target(state, "i-3")
+
+    asyncio.run(fall_back())
--- /dev/null
+++ b/cyclamenwell/sidecar/tests/test_store_returns.py
@@ -0,0 +1,49 @@
+"""Tests of a fleet whose store returns from an older copy."""
+
+import asyncio
+
+from cyclamenwell import clock
+from cyclamenwell.platform.tests import builders as platform_builders
+from cyclamenwell.sidecar.tests import builders
+
+# Eight of them read the store, the others learn from them.
+SERVICES = ("desk", *("meter",) * 12)
+# Time in which a configuration has to come into force.
+APPLY_TIME = clock.Milliseconds(2000)
+# Calls that the store accepts from all nodes of a small deployment.
+CALLS_PER_SECOND = 2000
+
+
+async def send_to_all(fleet, path):
+    """Return the statuses of the answers of all nodes to a request."""
+    answers = [fleet.send_request(m, path=path) for m in fleet.machines]
+    return {answer.status for answer in await asyncio.gather(*answers)}
+
+
+def test_a_version_after_a_return_is_in_force_in_time(tmp_path):
+    """Guards against a withdrawn route that is served after a return.
+
+    The revisions of the new era stay below the last one of the era before.
+    """
+
+    async def scenario(fleet):
+        copy = fleet.store.take_copy()
+        for version in ("00000010", "00000012", "00000014"):
+            for machine in fleet.machines:
+                fleet.publish_target(machine)
+            fleet.publish(version)
+        await asyncio.sleep(APPLY_TIME.seconds)
+        lost_revision = fleet.store.revision
+        fleet.store.restore(copy)
+        fleet.publish("00000014")
+        calls = fleet.store.reads
+        await asyncio.sleep(2.0)
+        assert fleet.store.reads - calls < CALLS_PER_SECOND
+        row = platform_builders.build_route_row(name="l", prefix="/later/")
+        fleet.publish("00000018", routes=platform_builders.build_table(row))
+        await asyncio.sleep(APPLY_TIME.seconds)
+        assert fleet.store.revision < lost_revision
+        assert await send_to_all(fleet, "/read/1") == {404}
+        assert await send_to_all(fleet, "/later/1") == {200}
+
+    builders.run_fleet(tmp_path, SERVICES, scenario)
