Keep in force what a returned store has lost

Change: when a node takes over a new era it compares what was in force with the list (configuration/held_items, without a network) and holds - the version in force, until a version as high is written; - a target that the copy lacks, for the time in which it registers again, as after an outage; a leaving one that is missing has ended; - a target whose report is later than the one listed (start, leaving, number of the report), and a target that has left, for 10 s or until the store changes the entry: an entry that has not lapsed by then belongs to a living target; - a data centre taken out, for 10 s or until it is written; one taken back, for 2 s only, as the listed item may be new. Removed content is remembered over several returns. Held items are told to nodes that learn of the era from this one, that have started since, or that have a lower version in force at the same position. What a node has read from the store without confirmation is not held.

--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -17,6 +17,7 @@
 import dataclasses
 
 from cyclamenwell import clock
+from cyclamenwell.configuration import held_items
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
 
@@ -45,12 +46,39 @@
         Revision up to which the items of the earlier era were complete.
     revision : int
         Revision up to which the items of the new era are complete.
+    held : int
+        Number of items that stay in force in place of the store's.
     """
 
     before: int
     era: int
     last_revision: int
     revision: int
+    held: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Merge:
+    """What merging changes into a replica has changed.
+
+    Parameters
+    ----------
+    changed_items : list of deployment.PublishedItem
+        Items of the store that changed, with removals.
+    is_return : bool
+        Whether the store has returned from an older copy.
+    has_learned : bool
+        Whether another node told of items to hold.
+    """
+
+    changed_items: list[deployment.PublishedItem]
+    is_return: bool
+    has_learned: bool
+
+    @property
+    def has_effect(self) -> bool:
+        """Whether anything in force may have changed."""
+        return bool(self.changed_items) or self.is_return or self.has_learned
 
 
 class PrefixReplica:
@@ -59,6 +87,8 @@
     def __init__(self) -> None:
         self._items: dict[str, deployment.PublishedItem] = {}
         self._removals: dict[str, int] = {}
+        # Last content of removed items, also of earlier eras.
+        self._departed: dict[str, deployment.PublishedItem] = {}
         self._history_start = 0  # Later changes can be listed.
         # Era of the store to which all revisions here belong, 0 if unknown.
         self.era = 0
@@ -84,6 +114,26 @@
         """Items that are not removed."""
         return self._items.values()
 
+    @property
+    def departed(self) -> dict[str, deployment.PublishedItem]:
+        """Last content of the items that were removed most recently, by key."""
+        return self._departed
+
+    def find_item(self, key: str) -> deployment.PublishedItem | None:
+        """Return the item with a key, None if there is none."""
+        return self._items.get(key)
+
+    def find_revision(self, key: str) -> int:
+        """Return the revision of the last change of a key, 0 if unknown."""
+        known = self._items.get(key)
+        return known.revision if known else self._removals.get(key, 0)
+
+    def is_return(self, changes: deployment.PrefixChanges) -> bool:
+        """Return whether the store has returned from a copy before a list."""
+        if changes.era is None or changes.base >= 0:
+            return False
+        return 0 < self.era < changes.era
+
     def lacks(self, era: int | None, revision: int) -> bool:
         """Return whether a peer knows changes that this replica lacks.
 
@@ -211,23 +261,25 @@
         changed_items = [
             item for key, item in self._items.items() if before.get(key) != item
         ]
+        gone = [item for key, item in before.items() if key not in self._items]
+        for item in gone:
+            self._record_departure(item)
         return changed_items + [
-            deployment.PublishedItem(key, changes.revision, removed=True)
-            for key in before
-            if key not in self._items
+            deployment.PublishedItem(item.key, changes.revision, removed=True)
+            for item in gone
         ]
 
     def _merge(self, item: deployment.PublishedItem) -> bool:
         known = self._items.get(item.key)
-        last = known.revision if known else self._removals.get(item.key, 0)
-        if item.revision <= last:
+        if item.revision <= self.find_revision(item.key):
             return False
         self.change_revision = max(self.change_revision, item.revision)
         if not item.removed:
             self._items[item.key] = item
             self._removals.pop(item.key, None)
             return True
-        self._items.pop(item.key, None)
+        if known is not None:
+            self._record_departure(self._items.pop(item.key))
         self._record_removal(item.key, item.revision)
         return known is not None
 
@@ -242,7 +294,7 @@
             if key not in listed and item.revision <= changes.revision
         ]
         for key in gone:
-            del self._items[key]
+            self._record_departure(self._items.pop(key))
             # The exact revision of the removal is unknown, so the revision
             # of the list stands in for it.
             self._record_removal(key, changes.revision)
@@ -251,6 +303,12 @@
             for key in gone
         ]
 
+    def _record_departure(self, item: deployment.PublishedItem) -> None:
+        self._departed.pop(item.key, None)
+        self._departed[item.key] = item
+        if len(self._departed) > _MAX_REMOVALS:
+            del self._departed[next(iter(self._departed))]
+
     def _record_removal(self, key: str, revision: int) -> None:
         self._removals.pop(key, None)
         self._removals[key] = revision
@@ -279,12 +337,15 @@
         self._time = time
         self._reappearance = reappearance
         self._outage_end: clock.Milliseconds | None = None
-        self._expired: dict[str, deployment.TargetEntry] = {}
+        # Era and time of the last return of the store from an older copy.
+        self._last_return: tuple[int, clock.Milliseconds] | None = None
         self._listeners: list[
             Callable[[list[deployment.PublishedItem]], None]
         ] = []
         self.operators = PrefixReplica()
         self.targets = PrefixReplica()
+        self._held_operators = held_items.HeldItems(time)
+        self._held_targets = held_items.HeldItems(time)
         self.configuration: deployment.Configuration | None = None
         self.data_centres_out: frozenset[str] = frozenset()
         self.entries: dict[str, deployment.TargetEntry] = {}
@@ -310,6 +371,13 @@
         """Whether any item may be from a stale read."""
         return self.operators.is_provisional or self.targets.is_provisional
 
+    @property
+    def version(self) -> int | None:
+        """Version in force, None if there is none."""
+        return (
+            None if self.configuration is None else (self.configuration.version)
+        )
+
     def note_confirmation(self) -> None:
         """Note that another node has confirmed all items."""
         self.operators.is_provisional = False
@@ -360,22 +428,19 @@
         is_confirmed : bool
             Whether the store has confirmed them.
         """
-        changed_items = self._apply(self.operators, changes, is_confirmed)
-        if not changed_items:
+        held = self._held_operators
+        merged = self._apply(self.operators, held, changes, is_confirmed)
+        if not merged.has_effect:
             return
-        for item in changed_items:
+        for item in (*merged.changed_items, *held.items):
             new = item.configuration
             if new is None:
                 continue
             known = self.configuration
             if known is None or new.version >= known.version:
                 self.configuration = new
-        self.data_centres_out = frozenset(
-            item.data_centre_out
-            for item in self.operators.items
-            if item.data_centre_out
-        )
-        self._notify_listeners(changed_items)
+        self._update_data_centres()
+        self._notify_listeners(merged.changed_items)
 
     def apply_targets(
         self, changes: deployment.PrefixChanges, is_confirmed: bool = False
@@ -389,17 +454,19 @@
         is_confirmed : bool
             Whether the store has confirmed them.
         """
-        changed_items = self._apply(self.targets, changes, is_confirmed)
-        if not changed_items:
+        merged = self._apply(
+            self.targets, self._held_targets, changes, is_confirmed
+        )
+        if not merged.has_effect:
             return
-        self._update_expired(changed_items)
+        if not merged.is_return:
+            self._hold_expired(merged.changed_items)
         self._rebuild_targets()
-        self._notify_listeners(changed_items)
+        self._notify_listeners(merged.changed_items)
 
     def list_targets(self, service: str) -> tuple[deployment.TargetEntry, ...]:
         """Return the targets of a service, including leaving ones."""
-        if self._expired and not self._is_in_grace():
-            self._expired.clear()
+        if self._held_targets.drop_expired():
             self._rebuild_targets()
         return self._by_service.get(service, ())
 
@@ -430,34 +497,206 @@
             hosts.setdefault(entry.data_centre, set()).add(entry.host)
         return hosts
 
+    def expire_held(self) -> bool:
+        """Drop held items whose time is over.
+
+        Returns
+        -------
+        bool
+            Whether others are held for a limited time.
+        """
+        are_operators_expired = self._held_operators.drop_expired()
+        are_targets_expired = self._held_targets.drop_expired()
+        if are_operators_expired:
+            self._update_data_centres()
+        if are_targets_expired:
+            self._rebuild_targets()
+        if are_operators_expired or are_targets_expired:
+            self._notify_listeners([])
+        return self._held_operators.has_ends or self._held_targets.has_ends
+
+    def list_missing_operators(
+        self, message: deployment.StateExchange
+    ) -> deployment.PrefixChanges | None:
+        """Return operator changes that a peer lacks, None if there are none."""
+        own, peers = self.version, message.configuration_version
+        return self._list_missing(
+            self.operators,
+            self._held_operators,
+            message,
+            (message.operator_era, message.operator_revision),
+            own is not None and peers is not None and peers < own,
+        )
+
+    def list_missing_targets(
+        self, message: deployment.StateExchange
+    ) -> deployment.PrefixChanges | None:
+        """Return target changes that a peer lacks, None if there are none."""
+        return self._list_missing(
+            self.targets,
+            self._held_targets,
+            message,
+            (message.target_era, message.target_revision),
+            False,
+        )
+
+    def lacks_changes_of(self, message: deployment.StateExchange) -> bool:
+        """Return whether a peer knows changes that are not known here."""
+        own, peers = self.version, message.configuration_version
+        return (
+            self.operators.lacks(
+                message.operator_era, message.operator_revision
+            )
+            or self.targets.lacks(message.target_era, message.target_revision)
+            or (own is not None and peers is not None and own < peers)
+        )
+
+    def _list_missing(
+        self,
+        replica: PrefixReplica,
+        held: held_items.HeldItems,
+        message: deployment.StateExchange,
+        position: tuple[int | None, int],
+        lacks_held: bool,
+    ) -> deployment.PrefixChanges | None:
+        """Return changes and held items that a peer lacks.
+
+        What a peer has from a read that may have been stale can be older than
+        the era in which it was read, so no history continues it. Held items
+        are told to peers that have not seen the return themselves.
+        """
+        era, revision = position
+        if era is not None and era > replica.era:
+            return None
+        is_confirmed = message.store_age_ms is not None
+        changes = None
+        if replica.has_returned and not is_confirmed:
+            changes = replica.list_all()
+        elif replica.is_ahead_of(era, revision):
+            changes = replica.list_changes(revision, era)
+        age = self._find_return_age(replica.era)
+        if not held or age is None or era is None:
+            return changes
+        is_newcomer = (
+            not is_confirmed
+            or message.uptime_ms is None
+            or message.uptime_ms < age.value
+        )
+        if not (lacks_held or is_newcomer or era < replica.era):
+            return changes
+        if changes is None:
+            changes = replica.list_changes(revision, era)
+        return dataclasses.replace(
+            changes, held=held.items, era_age_ms=age.value
+        )
+
+    def _find_return_age(self, era: int) -> clock.Milliseconds | None:
+        """Return the time since the return that began an era, if known."""
+        if self._last_return is None or self._last_return[0] != era:
+            return None
+        return self._time.now() - self._last_return[1]
+
     def _apply(
         self,
         replica: PrefixReplica,
+        held: held_items.HeldItems,
         changes: deployment.PrefixChanges,
         is_confirmed: bool,
-    ) -> list[deployment.PublishedItem]:
+    ) -> _Merge:
         """Merge changes into a replica and tell of a change of its era."""
         era, revision = replica.era, replica.revision
+        is_return = replica.is_return(changes)
+        chosen: list[held_items.HeldItem] = []
+        if is_return:
+            chosen = self._choose_held(replica, held, changes)
         changed_items = replica.apply(changes, is_confirmed)
+        held.drop_changed(changed_items)
+        if is_return:
+            held.replace(chosen)
+            self.note_outage_end(self._find_return_age(replica.era))
+        has_learned = self._learn_held(replica, held, changes)
         if era < replica.era:
-            change = EraChange(era, replica.era, revision, replica.revision)
+            change = EraChange(
+                era, replica.era, revision, replica.revision, len(chosen)
+            )
             for listener in self._era_listeners:
                 listener(change)
-        return changed_items
+        return _Merge(changed_items, is_return, has_learned)
+
+    def _choose_held(
+        self,
+        replica: PrefixReplica,
+        held: held_items.HeldItems,
+        changes: deployment.PrefixChanges,
+    ) -> list[held_items.HeldItem]:
+        """Choose what stays in force after a return, and note its time."""
+        if self._find_return_age(changes.era) is None:
+            age = clock.Milliseconds(changes.era_age_ms or 0.0)
+            self._last_return = (changes.era, self._time.now() - age)
+        # Items that the store has not confirmed may be older than the return.
+        in_force = () if replica.is_provisional else replica.items
+        known = {item.key: item for item in held.overlay(in_force)}
+        removed = replica.departed | {
+            item.key: item for item in held.items if item.removed
+        }
+        return list(
+            held_items.choose_held(
+                known,
+                removed,
+                changes,
+                self._last_return[1],
+                self._reappearance,
+            )
+        )
+
+    def _learn_held(
+        self,
+        replica: PrefixReplica,
+        held: held_items.HeldItems,
+        changes: deployment.PrefixChanges,
+    ) -> bool:
+        """Hold what a peer holds; return whether anything was added."""
+        if changes.era != replica.era or changes.era_age_ms is None:
+            return False
+        begin = self._time.now() - clock.Milliseconds(changes.era_age_ms)
+        learned = [
+            held_item
+            for item in changes.held
+            if replica.find_revision(item.key) <= item.revision
+            and (
+                held_item := held_items.hold_learned(
+                    item,
+                    replica.find_item(item.key),
+                    held.find(item.key),
+                    begin,
+                    self._reappearance,
+                )
+            )
+        ]
+        for held_item in learned:
+            held.add(held_item)
+        return bool(learned)
+
+    def _update_data_centres(self) -> None:
+        self.data_centres_out = frozenset(
+            item.data_centre_out
+            for item in self._held_operators.overlay(self.operators.items)
+            if item.data_centre_out
+        )
 
     def _is_in_grace(self) -> bool:
         if self._outage_end is None:
             return False
         return self._time.now() < self._outage_end + self._reappearance
 
-    def _update_expired(
+    def _hold_expired(
         self, changed_items: list[deployment.PublishedItem]
     ) -> None:
+        """Hold targets whose entries may have expired in an outage."""
         latest = dict(self.entries)
         for item in changed_items:
             target_id = item.key.rpartition("/")[2]
             if not item.removed:
-                self._expired.pop(target_id, None)
                 if item.target is not None:
                     latest[target_id] = item.target
                 continue
@@ -466,27 +705,35 @@
                 continue
             # A serving target may be alive although its entry expired; one
             # that announced that it was leaving has stopped on purpose.
-            if known.state is enumerations.InstanceState.SERVING:
-                self._expired[target_id] = known
+            is_serving = known.state is enumerations.InstanceState.SERVING
+            if is_serving and item.key not in self._held_targets:
+                lapsed = deployment.PublishedItem(
+                    item.key, item.revision, target=known
+                )
+                self._held_targets.add(
+                    held_items.HeldItem(
+                        lapsed, self._outage_end + self._reappearance
+                    )
+                )
 
     def _rebuild_targets(self) -> None:
-        self.entries = dict(self._expired)
+        self.entries = {}
         # Addresses are reused, and the entry of a dead target stays until it
         # expires. The entry that changed last wins: birth times do not decide,
-        # since the clocks of targets may be set back.
-        last: dict[tuple[str, int], tuple[int, deployment.TargetEntry]] = {
-            (entry.host, entry.port): (0, entry)
-            for entry in self._expired.values()
-        }
-        for item in self.targets.items:
+        # since the clocks of targets may be set back. Entries that the store
+        # lacks come first.
+        last: dict[tuple[str, int], tuple[int, deployment.TargetEntry]] = {}
+        for item in self._held_targets.overlay(self.targets.items):
             entry = item.target
             if entry is None:
                 continue
             self.entries[entry.target_id] = entry
             address = (entry.host, entry.port)
+            listed = self.targets.find_item(item.key)
+            revision = 0 if listed is None else listed.revision
             known = last.get(address)
-            if known is None or known[0] < item.revision:
-                last[address] = (item.revision, entry)
+            if known is None or known[0] < revision:
+                last[address] = (revision, entry)
         self._by_address = {key: entry for key, (_, entry) in last.items()}
         hosts = tuple(sorted({e.host for e in self.entries.values()}))
         if hosts != self._hosts:
--- a/cyclamenwell/platform/decoder.py
+++ b/cyclamenwell/platform/decoder.py
@@ -151,6 +151,7 @@
         state=_INSTANCE_STATES[status["state"]],
         cold_remaining_ms=_read_number(cold_remaining),
         started_ms=_read_integer(born, maximum=_MAX_LONG),
+        sequence=min(max(status["seq"], 0), _MAX_LONG),
     )
 
 
--- a/cyclamenwell/sidecar/gossip.py
+++ b/cyclamenwell/sidecar/gossip.py
@@ -63,17 +63,14 @@
         self._announced_targets = (0, 0)
         self._is_target_push_due = False
         self._duty = context.duty
+        self._started_at = context.time.now()
 
     def record_exchange(self, message: deployment.StateExchange) -> None:
         """Record an exchange from a peer; schedule a pull if it is ahead."""
         if message.host == self._settings.host:
             return
         self._known_hosts.add(message.host)
-        state = self._state
-        is_ahead = state.operators.lacks(
-            message.operator_era, message.operator_revision
-        ) or state.targets.lacks(message.target_era, message.target_revision)
-        if is_ahead:
+        if self._state.lacks_changes_of(message):
             self._schedule([message.host])
 
     def notify_peers(self, changes: list[deployment.PublishedItem]) -> None:
@@ -229,6 +226,8 @@
             ),
             operator_era=state.operators.era,
             target_era=state.targets.era,
+            configuration_version=state.version,
+            uptime_ms=(asked_at - self._started_at).value,
         )
         try:
             reply = await self._links.call(host, message, _REPLY_TIMEOUT)
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -7,7 +7,6 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
-from cyclamenwell.configuration import published
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
 from cyclamenwell.sidecar import components
@@ -172,20 +171,12 @@
     state = node.state
     since_outage = state.since_outage
     operators, targets = state.operators, state.targets
-    is_confirmed = message.store_age_ms is not None
     reply = deployment.StateExchangeReply(
         host=node.settings.host,
         operator_revision=operators.change_revision,
         target_revision=targets.change_revision,
-        operator_changes=_list_missing(
-            operators,
-            message.operator_era,
-            message.operator_revision,
-            is_confirmed,
-        ),
-        target_changes=_list_missing(
-            targets, message.target_era, message.target_revision, is_confirmed
-        ),
+        operator_changes=state.list_missing_operators(message),
+        target_changes=state.list_missing_targets(message),
         store_age_ms=node.duty.store_age_ms if state.is_complete else None,
         reader_age_ms=node.duty.reader_age_ms if state.is_complete else None,
         since_outage_ms=(None if since_outage is None else since_outage.value),
@@ -194,24 +185,6 @@
     await link.send(reply)
 
 
-def _list_missing(
-    replica: published.PrefixReplica,
-    era: int | None,
-    revision: int,
-    is_confirmed: bool,
-) -> deployment.PrefixChanges | None:
-    """Return the changes that a peer lacks, None if there are none.
-
-    What a peer has from a read that may have been stale can be older than the
-    era of the store in which it was read, so no history continues it.
-    """
-    if replica.has_returned and not is_confirmed:
-        return replica.list_all()
-    if not replica.is_ahead_of(era, revision):
-        return None
-    return replica.list_changes(revision, era)
-
-
 @_handle.register
 async def _(
     message: deployment.ShareRequest,
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -53,6 +53,7 @@
 # Running requests are abandoned this long before SIGKILL.
 _KILL_MARGIN = clock.Milliseconds(800)
 _STOP_CHECK_INTERVAL = clock.Milliseconds(100)
+_HELD_CHECK_INTERVAL = clock.Milliseconds(500)
 _UNKNOWN_AGE = clock.Milliseconds(math.nan)
 
 
@@ -250,6 +251,16 @@
     def _record_era(self, change: published.EraChange) -> None:
         self._metrics.count("store_eras")
         self._log.record("store.era", **dataclasses.asdict(change))
+        if change.held:
+            self._schedule_expiry()
+
+    def _schedule_expiry(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(_HELD_CHECK_INTERVAL.seconds, self._expire_held)
+
+    def _expire_held(self) -> None:
+        if self._state.expire_held():
+            self._schedule_expiry()
 
     async def _watch_settings(self) -> None:
         """Validate the settings file after SIGHUP and after each change.
--- a/cyclamenwell/sidecar/tests/test_store_returns.py
+++ b/cyclamenwell/sidecar/tests/test_store_returns.py
@@ -47,3 +47,36 @@
         assert await send_to_all(fleet, "/later/1") == {200}
 
     builders.run_fleet(tmp_path, SERVICES, scenario)
+
+
+def test_nothing_goes_back_while_the_store_is_older(tmp_path):
+    """Guards against what was withdrawn and is in use again after a return.
+
+    Nothing is written again. A node that reads the store and one that learns
+    from others are started again meanwhile.
+    """
+
+    async def scenario(fleet):
+        later = platform_builders.build_route_row(name="l", prefix="/later/")
+        copy = fleet.store.take_copy()
+        fleet.publish("00000010", routes=platform_builders.build_table(later))
+        gone = fleet.machines[-1].target
+        fleet.store.remove(f"servers/{gone.target_id}")
+        await asyncio.sleep(APPLY_TIME.seconds)
+        runs = len(gone.runs)
+        fleet.store.restore(copy)
+        await asyncio.sleep(0.5)
+        readers = await fleet.find_readers()
+        learners = [m for m in fleet.machines[1:-1] if m not in readers]
+        started = [readers[0], learners[0]]
+        for machine in started:
+            machine.stop()
+        for machine in started:
+            machine.start(fleet.log_path)
+            await fleet.wait_ready(machine)
+        assert await send_to_all(fleet, "/read/1") == {404}
+        for _ in range(5):
+            assert await send_to_all(fleet, "/later/1") == {200}
+        assert len(gone.runs) == runs
+
+    builders.run_fleet(tmp_path, SERVICES, scenario)
