Do not take cut watches for an outage of the store

A target whose entry had been removed between the cuts was used for 2.8 s and longer, where 2 s are allowed. Six orders that may run once were sent to it; it ended while they ran, and their clients got 502.

Cause: each failed call began an outage, and the next answer ended it. After a cut watch that answer was the one to the next watch, which waits for seconds, so the store seemed to have been away for as long. Entries that are missing after an outage stay in use for 2 s, since they may have lapsed. And each further outage began this time anew for all missing entries.

Change: - After a loss the next watch asks for an answer at once. The store was away only while calls that should be answered at once have failed, for 300 ms or more, or while a call has timed out; as before, only if no node in contact has heard from the store within a second. A watch that is cut while it waits is no such failure.

Cuts after a real outage of 2.5 s, in which a living target lapsed and came back 1.6 s after its end, cost nothing before and now.

--- a/cyclamenwell/configuration/tests/test_published.py
+++ b/cyclamenwell/configuration/tests/test_published.py
@@ -136,6 +136,33 @@
     assert state.list_targets("meter") == ()
 
 
+def test_a_second_outage_begins_no_grace_time_anew(state, time):
+    """Guards against a target that has gone and is used while outages come.
+
+    Only entries that are missing since the second outage get its grace time.
+    """
+    state.apply_targets(
+        builders.list_all(
+            10,
+            builders.build_target("i-1", 4),
+            builders.build_target("i-2", 5, host="10.0.0.2"),
+        )
+    )
+    state.note_outage_end()
+    state.apply_targets(
+        builders.list_after(10, 14, builders.build_removal("i-1", 14))
+    )
+    time.advance(REAPPEARANCE * 0.75)
+    state.note_outage_end()
+    state.apply_targets(
+        builders.list_after(14, 16, builders.build_removal("i-2", 16))
+    )
+    time.advance(REAPPEARANCE * 0.5)
+    assert [e.target_id for e in state.list_targets("meter")] == ["i-2"]
+    time.advance(REAPPEARANCE * 0.5)
+    assert state.list_targets("meter") == ()
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_the_end_of_an_outage_does_not_move_while_nodes_talk(time, seed):
     """Guards against targets that are used long after they have gone.
--- a/cyclamenwell/platform/tests/fake_store.py
+++ b/cyclamenwell/platform/tests/fake_store.py
@@ -74,6 +74,7 @@
         self.mode = "up"
         self.reads = 0
         self.full_reads = 0  # Of all items of a prefix, not serializable.
+        self._cuts = 0
         self._stale_items: dict[str, _Item] | None = None
         self._stale_pages: int | None = None
 
@@ -131,6 +132,11 @@
         self.era = era
         self._notify_watches()
 
+    def cut_waiting(self) -> None:
+        """Close the connections of the watches that are waiting."""
+        self._cuts += 1
+        self._notify_watches()
+
     def _write(self, key: str, value: bytes | None) -> None:
         self.revision += 1
         item = _Item(key, self.revision, value)
@@ -161,6 +167,8 @@
             status, body = 503, {}
             if self.mode not in ("refusing", "silent"):
                 status, body = await self._answer(received.request.path)
+            if not status:
+                return
             encoded = json.dumps(body).encode()
             head = f"HTTP/1.1 {status} X\r\ncontent-length: {len(encoded)}\r\n"
             if self.era is not None:
@@ -209,6 +217,7 @@
     ) -> tuple[int, dict[str, Any]]:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_ms / 1000.0
+        cuts = self._cuts
         while True:
             if not self._compacted_revision <= after <= self.revision:
                 return 410, {}
@@ -224,6 +233,8 @@
             remaining = deadline - loop.time()
             if events or remaining <= 0:
                 return 200, {"events": events, "store_revision": self.revision}
+            if self._cuts != cuts:
+                return 0, {}
             try:
                 async with asyncio.timeout(remaining):
                     await self._changed.wait()
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -47,6 +47,17 @@
 # If other nodes have heard from the store within this time, only this node has
 # lost it, and no entries have lapsed.
 _MIN_OUTAGE = clock.Milliseconds(1000)
+# Calls that should be answered at once fail at least as long in an outage. One
+# that is refused or reset is answered at the next attempt.
+_MIN_FAILING = clock.Milliseconds(300)
+# Each time-out of a call is at least as long.
+_MIN_TIMEOUT = clock.Milliseconds(1000)
+# After a loss the next watch returns at once, whether anything has changed or
+# not: a watch that waits does not tell whether the store is away.
+_PROBE_WAIT = clock.Milliseconds(1)
+# A watch that fails after this time has been waiting. The store may cut it and
+# answer every other call.
+_MAX_PROMPT = clock.Milliseconds(500)
 _MIN_BACKOFF = clock.Milliseconds(150)
 _MAX_BACKOFF = clock.Milliseconds(2000)
 # A watch that ends without changes before this part of its wait was cut.
@@ -101,6 +112,8 @@
         )
         self._duty = context.duty
         self._lost_since: clock.Milliseconds | None = None
+        # Since when calls that should be answered at once have failed.
+        self._failing_since: clock.Milliseconds | None = None
 
     async def watch_operators(self) -> None:
         """Watch the configuration and the data centres taken out."""
@@ -137,9 +150,12 @@
             if is_listed:
                 await self._wait_for_duty(prefix)
             asked_at = self._time.now()
-            watch_wait = wait * self._random.uniform(
-                1.0 - _WAIT_SPREAD, 1.0 + _WAIT_SPREAD
-            )
+            is_probe = self._lost_since is not None
+            watch_wait = _PROBE_WAIT
+            if not is_probe:
+                watch_wait = wait * self._random.uniform(
+                    1.0 - _WAIT_SPREAD, 1.0 + _WAIT_SPREAD
+                )
             try:
                 if is_listed:
                     changes = await self._watch(prefix, replica, watch_wait)
@@ -148,10 +164,14 @@
             except store.HistoryLostError as error:
                 self._log.record("store.history_lost", error=str(error))
                 is_listed = False
+                self._record_reply()
                 await backoff.wait()
                 continue
             except (OSError, exceptions.CyclamenwellError) as error:
-                self._record_loss(prefix, error)
+                is_prompt = self._time.now() - asked_at <= _MAX_PROMPT
+                self._record_loss(prefix, error, is_prompt)
+                if not is_prompt:
+                    backoff.reset()
                 await backoff.wait()
                 continue
             waited = self._time.now() - asked_at
@@ -160,13 +180,15 @@
                 and not changes.items
                 and waited < watch_wait * _MIN_WAITED_PART
             )
-            # A list alone is no progress: the next watch may fail again.
-            if is_listed and not is_cut:
+            # A list or a probe alone is no progress: the next watch may fail
+            # again.
+            if is_listed and not is_cut and not is_probe:
                 backoff.reset()
             is_listed = True
             # Has to precede `apply`: the first answer after an outage already
             # lacks the entries that expired in it.
-            self._record_answer()
+            self._record_reply()
+            self._duty.note_store_answer()
             self._record_rejections(changes)
             apply(changes, is_confirmed=True)
             replica.is_provisional = False
@@ -191,7 +213,7 @@
         try:
             changes = await self._list_all(prefix, replica, may_be_stale=True)
         except (OSError, exceptions.CyclamenwellError) as error:
-            self._record_loss(prefix, error)
+            self._record_loss(prefix, error, is_prompt=True)
             return False
         if not replica.revision:
             replica.is_provisional = True
@@ -214,7 +236,8 @@
         """Wait while other nodes read the store for this one."""
         if self._duty.is_reader:
             return
-        self._lost_since = None  # An outage no longer concerns this node.
+        # An outage no longer concerns this node.
+        self._lost_since = self._failing_since = None
         self._log.record_routine("store.left_to_readers", prefix=prefix)
         while not self._duty.is_reader:
             await asyncio.sleep(self._duty.check_interval.seconds)
@@ -337,22 +360,47 @@
                     reason=item.rejection,
                 )
 
-    def _record_loss(self, prefix: str, error: Exception) -> None:
+    def _record_loss(
+        self, prefix: str, error: Exception, is_prompt: bool
+    ) -> None:
+        """Note that a call failed.
+
+        Parameters
+        ----------
+        prefix : str
+            Prefix of the call.
+        error : Exception
+            Why it failed.
+        is_prompt : bool
+            Whether it failed at once, and not while it was waiting.
+        """
+        now = self._time.now()
         if self._lost_since is None:
-            self._lost_since = self._time.now()
+            self._lost_since = now
             self._log.record("store.lost", prefix=prefix, error=repr(error))
+        if self._failing_since is None:
+            if isinstance(error, TimeoutError):
+                self._failing_since = now - _MIN_TIMEOUT
+            elif is_prompt:
+                self._failing_since = now
         self._pool.close_idle()
 
-    def _record_answer(self) -> None:
-        store_age = self._duty.store_age
-        self._duty.note_store_answer()
+    def _record_reply(self) -> None:
+        """Note that the store has replied, which ends an outage."""
         if self._lost_since is None:
             return
-        outage = self._time.now() - self._lost_since
+        now, store_age = self._time.now(), self._duty.store_age
+        failing_since = self._failing_since or now
         # The store may have served other nodes all the while, or one of them
         # has reached it before this one.
-        is_first = not self._state.has_outage_ended_since(self._lost_since)
-        if is_first and (store_age is None or store_age >= _MIN_OUTAGE):
+        is_outage = now - failing_since >= _MIN_FAILING and (
+            store_age is None or store_age >= _MIN_OUTAGE
+        )
+        if is_outage and not self._state.has_outage_ended_since(failing_since):
             self._state.note_outage_end()
-        self._lost_since = None
-        self._log.record("store.regained", away_ms=round(outage.value))
+        self._log.record(
+            "store.regained",
+            away_ms=round((now - self._lost_since).value),
+            is_outage=is_outage,
+        )
+        self._lost_since = self._failing_since = None
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Coroutine
 import contextlib
 import random
+from typing import Any
 
 import pytest
 
@@ -22,6 +24,8 @@
 from cyclamenwell.sidecar.tests import builders
 
 _REAPPEARANCE = clock.Milliseconds(2000)
+# Shortest time for which a target serves after its entry is gone.
+_DRAIN_TIME = clock.Milliseconds(2000)
 _COUNTED = clock.Milliseconds(10_000)
 
 
@@ -168,6 +172,88 @@
     asyncio.run(remove_while_turned_away())
 
 
+async def _remove_after(
+    disturb: Callable[[fake_store.FakeStore], Coroutine[Any, Any, None]],
+) -> clock.Milliseconds:
+    """Disturb the store, remove a target, and disturb the store again.
+
+    Returns
+    -------
+    clock.Milliseconds
+        Time from the removal until the target is not used any more.
+    """
+    async with _run_reader(watches_operators=True) as (store, state):
+        loop = asyncio.get_running_loop()
+        # Until the waiting watches are older than the shortest outage.
+        await asyncio.sleep(1.5)
+        await disturb(store)
+        await asyncio.sleep(1.1)
+        store.remove("servers/i-1")
+        removed_at = loop.time()
+        await asyncio.sleep(0.4)
+        await disturb(store)
+        await _wait_removed(state)
+        return clock.Milliseconds.from_seconds(loop.time() - removed_at)
+
+
+def test_cut_watches_do_not_keep_a_target_that_has_left():
+    """Guards against requests to a target that left while watches were cut."""
+
+    async def cut(store: fake_store.FakeStore) -> None:
+        store.cut_waiting()
+
+    # Less than the time for which a target that leaves goes on serving.
+    assert asyncio.run(_remove_after(cut)) < _DRAIN_TIME
+
+
+def test_reset_connections_do_not_keep_a_target_that_has_left():
+    """Guards against a moment without the store that is taken for an outage."""
+
+    async def reset(store: fake_store.FakeStore) -> None:
+        store.mode = "losing"
+        store.cut_waiting()
+        await asyncio.sleep(0.02)
+        store.mode = "up"
+
+    assert asyncio.run(_remove_after(reset)) < _DRAIN_TIME
+
+
+def test_a_refused_call_does_not_keep_a_target_that_has_left():
+    """Guards against a single refusal that is taken for an outage."""
+
+    async def refuse(store: fake_store.FakeStore) -> None:
+        store.mode = "refusing"
+        store.cut_waiting()
+        await asyncio.sleep(0.1)
+        store.mode = "up"
+
+    assert asyncio.run(_remove_after(refuse)) < _DRAIN_TIME
+
+
+def test_cuts_after_an_outage_do_not_shorten_its_grace_time():
+    """Guards against living targets that are lost after a real outage."""
+
+    async def expire_in_an_outage() -> None:
+        async with _run_reader(watches_operators=True) as (store, state):
+            store.mode = "losing"
+            store.cut_waiting()
+            await asyncio.sleep(2.5)
+            store.remove("servers/i-1")
+            store.mode = "up"
+            loop = asyncio.get_running_loop()
+            restored_at = loop.time()
+            for _ in range(8):
+                store.cut_waiting()
+                await asyncio.sleep(0.2)
+                assert await _has_target(state)
+            store.put("servers/i-1", platform_builders.build_target_value())
+            while loop.time() < restored_at + 2 * _REAPPEARANCE.seconds:
+                await asyncio.sleep(0.1)
+                assert await _has_target(state)
+
+    asyncio.run(expire_in_an_outage())
+
+
 def test_watches_of_many_nodes_stay_below_the_rate_of_the_store():
     # While targets change continuously, each watch returns immediately; with
     # one read a second for all nodes, a single node uses half of it.
