--- a/cyclamenwell/soak/sidecar_plans.py
+++ b/cyclamenwell/soak/sidecar_plans.py
@@ -8,6 +8,7 @@
 from cyclamenwell import clock
 
 __all__ = [
+    "CutWatches",
     "Fault",
     "ForgetHistory",
     "KillNode",
@@ -15,6 +16,7 @@
     "PauseNode",
     "Publish",
     "RestartTarget",
+    "RestoreStore",
     "SidecarPlan",
     "SpoilAnswers",
     "StopNode",
@@ -40,6 +42,9 @@
 _DOWN_MS = (200.0, 2000.0)  # Time without a process.
 _PAUSE_MS = (200.0, 2500.0)
 _STORE_TROUBLE_MS = (500.0, 4000.0)
+_COPY_AGE_MS = (500.0, 6000.0)
+_AWAY_MS = (20.0, 2000.0)
+_MEAN_STORE_FAULT_INTERVAL = clock.Milliseconds(5000)
 _LEAVING_MS = (3000.0, 6000.0)
 _COLD_MS = (1500.0, 4000.0)
 _MAX_SPOILED_ANSWERS = 6
@@ -95,6 +100,22 @@
     """The store drops the change history before the current revision."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutWatches(Fault):
+    """The store closes the connections of waiting watches."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreStore(Fault):
+    """The store goes away and returns from a copy taken at the begin.
+
+    What it has lost is written again soon after.
+    """
+
+    copy_age: clock.Milliseconds
+    away: clock.Milliseconds
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SpoilAnswers(Fault):
     """A target returns faulty answers."""
@@ -163,9 +184,30 @@
         at += clock.Milliseconds(
             rng.expovariate(1.0 / _MEAN_FAULT_INTERVAL.value)
         )
+    faults += _draw_store_faults(seed, duration, nodes)
+    faults.sort(key=lambda fault: fault.at.value)
     return SidecarPlan(seed, services, duration, tuple(faults))
 
 
+def _draw_store_faults(
+    seed: int, duration: clock.Milliseconds, nodes: int
+) -> list[Fault]:
+    """Draw cuts and returns of the store, without a change of other faults."""
+    rng = random.Random(f"{seed}/{nodes}/store")
+    faults: list[Fault] = []
+    at = _FIRST_FAULT
+    while at < duration:
+        copy_age = clock.Milliseconds(rng.uniform(*_COPY_AGE_MS))
+        away = clock.Milliseconds(rng.uniform(*_AWAY_MS))
+        faults.append(
+            rng.choice((CutWatches(at), RestoreStore(at, copy_age, away)))
+        )
+        at += clock.Milliseconds(
+            rng.expovariate(1.0 / _MEAN_STORE_FAULT_INTERVAL.value)
+        )
+    return faults
+
+
 def _draw_fault(
     at: clock.Milliseconds, rng: random.Random, nodes: int, serving: int
 ) -> Fault:
--- a/cyclamenwell/soak/sidecars.py
+++ b/cyclamenwell/soak/sidecars.py
@@ -39,6 +39,8 @@
 _GRACE = clock.Milliseconds(6000)  # As in the settings of the nodes.
 _RECOVERY = clock.Milliseconds(6000)
 _RECOVERED_DURATION = clock.Milliseconds(4000)
+# What a returned store has lost is written again after this time.
+_REWRITE_DELAY = clock.Milliseconds(300)
 _CALLERS_PER_NODE = 3
 _CALLER_PAUSE_MS = (20.0, 200.0)  # Between two requests of a caller.
 _SERVICE_TIME = clock.Milliseconds(20)
@@ -334,6 +336,32 @@
     run.fleet.store.forget_history()
 
 
+@_inject.register
+async def _(fault: plans.CutWatches, run: SoakRun) -> None:
+    run.fleet.store.cut_waiting()
+
+
+@_inject.register
+async def _(fault: plans.RestoreStore, run: SoakRun) -> None:
+    store = run.fleet.store
+    copy, era = store.take_copy(), store.era
+    await asyncio.sleep(fault.copy_age.seconds)
+    if store.era != era:
+        return  # It has returned from another copy meanwhile.
+    store.mode = "losing"
+    store.cut_waiting()
+    await run.record_fault("store", -1, fault.away)
+    store.restore(copy, era=str(int(era) + 1))
+    store.mode = "up"
+    await asyncio.sleep(_REWRITE_DELAY.seconds)
+    run.publish()
+    for node, machine in enumerate(run.fleet.machines):
+        status = platform_builders.SERVING_STATUS
+        if node in run.leaving:
+            status = platform_builders.LEAVING_STATUS
+        run.fleet.publish_target(machine, **status)
+
+
 @_inject.register
 async def _(fault: plans.SpoilAnswers, run: SoakRun) -> None:
     target = run.fleet.machines[fault.node].target
