End what a node has learned to hold, and confirm only the own era

- A node that starts after a return learns from others what to hold.
Only a change of the era started the check of the ends, so such a node left out a data centre that the operators had not written again, for good.
The check runs now as long as anything is held for a limited time.
- A node in an earlier era confirmed the first, stale read of a starting one, also if that was of a later era.
It states no age of its knowledge to such a node now.

--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -374,9 +374,14 @@
     @property
     def version(self) -> int | None:
         """Version in force, None if there is none."""
-        return (
-            None if self.configuration is None else (self.configuration.version)
-        )
+        if self.configuration is None:
+            return None
+        return self.configuration.version
+
+    @property
+    def has_expiring(self) -> bool:
+        """Whether any item is held for a limited time."""
+        return self._held_operators.has_ends or self._held_targets.has_ends
 
     def note_confirmation(self) -> None:
         """Note that another node has confirmed all items."""
@@ -497,14 +502,8 @@
             hosts.setdefault(entry.data_centre, set()).add(entry.host)
         return hosts
 
-    def expire_held(self) -> bool:
-        """Drop held items whose time is over.
-
-        Returns
-        -------
-        bool
-            Whether others are held for a limited time.
-        """
+    def expire_held(self) -> None:
+        """Drop held items whose time is over."""
         are_operators_expired = self._held_operators.drop_expired()
         are_targets_expired = self._held_targets.drop_expired()
         if are_operators_expired:
@@ -513,7 +512,6 @@
             self._rebuild_targets()
         if are_operators_expired or are_targets_expired:
             self._notify_listeners([])
-        return self._held_operators.has_ends or self._held_targets.has_ends
 
     def list_missing_operators(
         self, message: deployment.StateExchange
@@ -551,6 +549,12 @@
             or (own is not None and peers is not None and own < peers)
         )
 
+    def is_in_earlier_era(self, message: deployment.StateExchange) -> bool:
+        """Return whether a peer knows a later era of the store."""
+        return self.operators.era < (message.operator_era or 0) or (
+            self.targets.era < (message.target_era or 0)
+        )
+
     def _list_missing(
         self,
         replica: PrefixReplica,
--- a/cyclamenwell/configuration/tests/test_held_items.py
+++ b/cyclamenwell/configuration/tests/test_held_items.py
@@ -297,6 +297,15 @@
     assert newcomer.configuration.version == 9
 
 
+def test_a_node_in_an_earlier_era_confirms_nothing(returned, time):
+    """Guards against a stale read that is confirmed by older knowledge."""
+    older = build_state(time)
+    message = deployment.StateExchange(operator_era=2, target_era=2)
+    assert older.is_in_earlier_era(message)
+    assert not returned.is_in_earlier_era(message)
+    assert older.list_missing_operators(message) is None
+
+
 def test_nothing_is_held_for_nodes_without_eras(returned, time):
     """Guards against messages that other versions do not understand."""
     message = deployment.StateExchange(operator_revision=5, target_revision=5)
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -171,14 +171,16 @@
     state = node.state
     since_outage = state.since_outage
     operators, targets = state.operators, state.targets
+    # What this node knows of an earlier era confirms nothing of a later one.
+    is_current = state.is_complete and not state.is_in_earlier_era(message)
     reply = deployment.StateExchangeReply(
         host=node.settings.host,
         operator_revision=operators.change_revision,
         target_revision=targets.change_revision,
         operator_changes=state.list_missing_operators(message),
         target_changes=state.list_missing_targets(message),
-        store_age_ms=node.duty.store_age_ms if state.is_complete else None,
-        reader_age_ms=node.duty.reader_age_ms if state.is_complete else None,
+        store_age_ms=node.duty.store_age_ms if is_current else None,
+        reader_age_ms=node.duty.reader_age_ms if is_current else None,
         since_outage_ms=(None if since_outage is None else since_outage.value),
     )
     node.gossip.record_exchange(message)
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -86,6 +86,7 @@
         self._peer_connections = 0  # Accepted since the start.
         # Hosts for which `StoreDuty` has chosen the readers last.
         self._fleet_hosts: tuple[str, ...] = ()
+        self._is_expiry_scheduled = False
         self._must_stop = asyncio.Event()
         self._must_reload = asyncio.Event()
         self._state = published.PublishedState(
@@ -247,20 +248,24 @@
         self._retry_budget.set_fleet_size(nodes)
         self._node.rate_limiter.set_fleet_size(nodes)
         self._node.gossip.notify_peers(changes)
+        self._schedule_expiry()
 
     def _record_era(self, change: published.EraChange) -> None:
         self._metrics.count("store_eras")
         self._log.record("store.era", **dataclasses.asdict(change))
-        if change.held:
-            self._schedule_expiry()
 
     def _schedule_expiry(self) -> None:
+        """Check later whether the time of held items is over."""
+        if self._is_expiry_scheduled or not self._state.has_expiring:
+            return
+        self._is_expiry_scheduled = True
         loop = asyncio.get_running_loop()
         loop.call_later(_HELD_CHECK_INTERVAL.seconds, self._expire_held)
 
     def _expire_held(self) -> None:
-        if self._state.expire_held():
-            self._schedule_expiry()
+        self._is_expiry_scheduled = False
+        self._state.expire_held()
+        self._schedule_expiry()
 
     async def _watch_settings(self) -> None:
         """Validate the settings file after SIGHUP and after each change.
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -390,7 +390,9 @@
         if self._lost_since is None:
             return
         now, store_age = self._time.now(), self._duty.store_age
-        failing_since = self._failing_since or now
+        failing_since = self._failing_since
+        if failing_since is None:
+            failing_since = now
         # The store may have served other nodes all the while, or one of them
         # has reached it before this one.
         is_outage = now - failing_since >= _MIN_FAILING and (
--- a/cyclamenwell/sidecar/tests/test_store_returns.py
+++ b/cyclamenwell/sidecar/tests/test_store_returns.py
@@ -10,6 +10,8 @@
 SERVICES = ("desk", *("meter",) * 12)
 # Time in which a configuration has to come into force.
 APPLY_TIME = clock.Milliseconds(2000)
+# Time for which what a returned store has lost is in force at the longest.
+REWRITE_TIME = clock.Milliseconds(10_000)
 # Calls that the store accepts from all nodes of a small deployment.
 CALLS_PER_SECOND = 2000
 
@@ -80,3 +82,27 @@
         assert len(gone.runs) == runs
 
     builders.run_fleet(tmp_path, SERVICES, scenario)
+
+
+def test_a_data_centre_that_is_not_written_again_serves_again(tmp_path):
+    """Guards against a data centre that some nodes leave out for good.
+
+    Nodes that learn of it from others hold it as out as well: one of them
+    starts after the return.
+    """
+
+    async def scenario(fleet):
+        copy = fleet.store.take_copy()
+        fleet.store.put("op/evacuate/a", {})
+        await asyncio.sleep(APPLY_TIME.seconds)
+        fleet.store.restore(copy)
+        await asyncio.sleep(0.5)
+        fleet.machines[3].stop()
+        fleet.machines[3].start(fleet.log_path)
+        await fleet.wait_ready(fleet.machines[3])
+        await asyncio.sleep(0.5)
+        assert await send_to_all(fleet, "/read/1") == {503}
+        await asyncio.sleep(REWRITE_TIME.seconds)
+        assert await send_to_all(fleet, "/read/1") == {200}
+
+    builders.run_fleet(tmp_path, SERVICES, scenario)
