Move the replica of a prefix into a module of its own

What merges positions of the store (prefix_replica) stands apart now from what is in force (published) and from what is held (held_items). Code is moved, not changed; the tests name the new module.

--- a/cyclamenwell/configuration/tests/test_published.py
+++ b/cyclamenwell/configuration/tests/test_published.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cyclamenwell import clock
+from cyclamenwell.configuration import prefix_replica
 from cyclamenwell.configuration import published
 from cyclamenwell.configuration.tests import published_builders as builders
 from cyclamenwell.generated import deployment
@@ -277,7 +278,7 @@
     other learns from it.
     """
     store = builders.StoreModel()
-    nodes = [published.PrefixReplica(), published.PrefixReplica()]
+    nodes = [prefix_replica.PrefixReplica(), prefix_replica.PrefixReplica()]
 
     def read(node):
         node.apply(store.read())
--- a/cyclamenwell/configuration/tests/test_store_eras.py
+++ b/cyclamenwell/configuration/tests/test_store_eras.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cyclamenwell import clock
+from cyclamenwell.configuration import prefix_replica
 from cyclamenwell.configuration import published
 from cyclamenwell.configuration.tests import published_builders as builders
 
@@ -216,7 +217,7 @@
     watch it, or let a node learn from another one that knows more.
     """
     store = builders.StoreModel()
-    nodes = [published.PrefixReplica() for _ in range(3)]
+    nodes = [prefix_replica.PrefixReplica() for _ in range(3)]
 
     def watch(node):
         if node.revision and node.era == store.era:
--- a/cyclamenwell/sidecar/store_reader.py
+++ b/cyclamenwell/sidecar/store_reader.py
@@ -9,7 +9,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
-from cyclamenwell.configuration import published
+from cyclamenwell.configuration import prefix_replica
 from cyclamenwell.generated import deployment
 from cyclamenwell.node import calls
 from cyclamenwell.node import encoding
@@ -138,7 +138,7 @@
     async def _list_and_watch(
         self,
         prefix: str,
-        replica: published.PrefixReplica,
+        replica: prefix_replica.PrefixReplica,
         apply: Callable[..., None],
         wait: clock.Milliseconds,
         find_pause: Callable[[], clock.Milliseconds],
@@ -202,7 +202,7 @@
     async def _begin(
         self,
         prefix: str,
-        replica: published.PrefixReplica,
+        replica: prefix_replica.PrefixReplica,
         apply: Callable[..., None],
     ) -> bool:
         """Read once and let other nodes confirm it; return whether they have.
@@ -268,7 +268,7 @@
     async def _list_all(
         self,
         prefix: str,
-        replica: published.PrefixReplica,
+        replica: prefix_replica.PrefixReplica,
         may_be_stale: bool = False,
     ) -> deployment.PrefixChanges:
         """Return all items, at the revision of the oldest page.
@@ -303,7 +303,7 @@
     async def _watch(
         self,
         prefix: str,
-        replica: published.PrefixReplica,
+        replica: prefix_replica.PrefixReplica,
         wait: clock.Milliseconds,
     ) -> deployment.PrefixChanges:
         known_era, after = replica.era, replica.revision
@@ -319,7 +319,7 @@
         return dataclasses.replace(changes, era=era)
 
     def _read_era(
-        self, answer: calls.HttpAnswer, replica: published.PrefixReplica
+        self, answer: calls.HttpAnswer, replica: prefix_replica.PrefixReplica
     ) -> int:
         """Return the era that an answer states, else the known one."""
         text = store.find_era(answer.headers)
