--- a/cyclamenwell/platform/tests/test_decoder.py
+++ b/cyclamenwell/platform/tests/test_decoder.py
@@ -54,6 +54,7 @@
     assert target.state is enumerations.InstanceState.SERVING
     assert target.cold_remaining_ms == 250
     assert target.started_ms == 1_700_000_000_123
+    assert target.sequence == 4
 
 
 @pytest.mark.parametrize(
@@ -101,6 +102,14 @@
     return {"state": "ready", "seq": 4, "cold_remaining_ms": 250} | changes
 
 
+@pytest.mark.parametrize("number", [-1, 10**400])
+def test_a_number_of_a_report_out_of_range_costs_no_target(number):
+    """Guards against a living target that is not used for its counter."""
+    value = builders.build_target_value(status=build_status(seq=number))
+    item = decoder.decode_item(builders.build_item("servers/i-1", value))
+    assert 0 <= item.target.sequence < 2**63
+
+
 @pytest.mark.parametrize(
     "changes",
     [
--- a/cyclamenwell/platform/tests/test_store.py
+++ b/cyclamenwell/platform/tests/test_store.py
@@ -6,6 +6,8 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell.generated import httpfields
+from cyclamenwell.platform import names
 from cyclamenwell.platform import store
 from cyclamenwell.platform.tests import builders
 
@@ -63,3 +65,32 @@
     """Guards against a failed read that is taken for an empty list."""
     with pytest.raises(exceptions.PlatformError):
         store.decode_range(status, body)
+
+
+@pytest.mark.parametrize(
+    ("text", "era"),
+    [
+        ("1", 1),
+        ("0042", 42),
+        ("9" * 18, 10**18 - 1),
+        ("", None),
+        ("two", None),
+        ("-1", None),
+        ("1.5", None),
+        ("\u0663", None),
+        ("9" * 19, None),
+    ],
+)
+def test_era_is_a_number_that_messages_can_carry(text, era):
+    """Guards against an era that ends the reader or its messages."""
+    assert store.parse_era(text) == era
+
+
+def test_era_is_found_in_the_headers():
+    """Guards against a return of the store that nobody notices."""
+    headers = (
+        httpfields.Header("content-length", "2"),
+        httpfields.Header(names.STORE_ERA, "7"),
+    )
+    assert store.find_era(headers) == "7"
+    assert store.find_era(headers[:1]) == ""
