Tell no peer of another era what a stale read has shown

Found while reading again. A starting node reads items first that may be stale, also from before a return, under the era of the answer. Items of an unconfirmed read are told to nodes of the same era only. The new test fails without the change.

--- a/cyclamenwell/configuration/published.py
+++ b/cyclamenwell/configuration/published.py
@@ -327,6 +327,9 @@
         era, revision = position
         if era is not None and era > replica.era:
             return None
+        if replica.is_provisional and era not in (None, replica.era):
+            # A stale read may show items of an earlier era under a later one.
+            return None
         is_confirmed = message.store_age_ms is not None
         changes = None
         if replica.has_returned and not is_confirmed:
--- a/cyclamenwell/configuration/tests/test_held_items.py
+++ b/cyclamenwell/configuration/tests/test_held_items.py
@@ -297,6 +297,26 @@
     assert newcomer.configuration.version == 9
 
 
+def test_a_stale_read_brings_no_era_to_other_nodes(state, time):
+    """Guards against a fleet that follows a stale read of a starting node.
+
+    It shows an item of the earlier era, at a revision that the store has not
+    reached again, so its changes up to there would not be seen.
+    """
+    newcomer = published.PublishedState(time, REAPPEARANCE)
+    newcomer.targets.is_provisional = True
+    newcomer.apply_targets(
+        builders.in_era(
+            2, builders.list_all(31, builders.build_target("i-9", 31))
+        )
+    )
+    apply_targets(state, 1, 20, builders.build_target("i-1", 5))
+    exchange(state, newcomer)
+    assert state.targets.era == 1
+    apply_targets(state, 2, 12, builders.build_target("i-1", 5))
+    assert state.targets.revision == 12
+
+
 def test_a_node_in_an_earlier_era_confirms_nothing(returned, time):
     """Guards against a stale read that is confirmed by older knowledge."""
     older = build_state(time)
