Count requests that fail because a nested call was refused

Answers of a target's own 500 are routine lines, so neither logs nor metrics told a node that loses its work to refused nested calls from one whose target fails. The metric lost_runs_total (route) counts failures that follow a refused call of the same target within 100 ms; each refused call accounts for one. The refusals of an entry node that has just been refused now carry the kind of the earlier refusals, as a cold target is no sign of a lack of slots. Offers name their route for that.

--- a/cyclamenwell/load/fleet_simulation.py
+++ b/cyclamenwell/load/fleet_simulation.py
@@ -353,15 +353,16 @@
     host = request.demand.host
     simulation.balancers[host].end(event.target_id)
     simulation.balancers[host].note_load(event.load)
+    kind = _Kind.OVERLOADED
+    if event.load.pace_wait_ms:
+        kind = _Kind.TARGET_LIMITED
     simulation.saturated[host].note_refusal(
         event.target_id,
         _find_rank(request),
+        kind,
         request.max_wait,
         event.retry_after,
     )
-    kind = _Kind.OVERLOADED
-    if event.load.pace_wait_ms:
-        kind = _Kind.TARGET_LIMITED
     request.attempts = request.attempts.add(False, True, kind)
     decision = retry_decisions.decide_retry(
         request.attempts, enumerations.RequestKind.IDEMPOTENT, 3, kind
--- a/cyclamenwell/platform/tests/fake_target.py
+++ b/cyclamenwell/platform/tests/fake_target.py
@@ -16,6 +16,8 @@
 
 _IDLE_TIMEOUT = clock.Milliseconds(60_000)
 _NOISE = b"x" * 100_000
+# Statuses of faults in which the target answers for a request that it has run.
+_ERROR_STATUSES = {"busy": 503, "failing": 500}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,9 +50,9 @@
         that it did not run the request), ``misdirected``, ``unsealed``,
         ``foreign`` (a response to another request comes first),
         ``unframed`` (the body ends with the connection), ``encoded``,
-        ``busy`` (503 for a request that was run), ``extra`` (bytes after the
-        response), ``endless-head`` or ``endless-body`` (bytes that are no
-        response, until the caller closes).
+        ``busy`` (503 for a request that was run), ``failing`` (500 for such a
+        request), ``extra`` (bytes after the response), ``endless-head`` or
+        ``endless-body`` (bytes that are no response, until the caller closes).
     times : int
         Number of responses with the fault.
     """
@@ -205,8 +207,8 @@
         if fault == "foreign":
             other = [(names.REQUEST_ID, "other"), (names.RESPONSE_SEAL, "x")]
             _send(stream, 200, other, b"another answer")
-        if fault == "busy":
-            _send(stream, 503, sealed, b"")
+        if fault in _ERROR_STATUSES:
+            _send(stream, _ERROR_STATUSES[fault], sealed, b"")
             return True
         if fault == "encoded":
             sealed.append(("content-encoding", "gzip"))
--- a/cyclamenwell/routing/saturation.py
+++ b/cyclamenwell/routing/saturation.py
@@ -14,6 +14,7 @@
 import random
 
 from cyclamenwell import clock
+from cyclamenwell.generated import enumerations
 
 __all__ = ["SaturatedTargets"]
 
@@ -35,6 +36,7 @@
 class _Refusal:
     """Last refusal of a request rank by a saturated target."""
 
+    kind: enumerations.ErrorKind
     max_wait: clock.Milliseconds
     expires_at: clock.Milliseconds
     free_at: clock.Milliseconds
@@ -67,6 +69,7 @@
         self,
         target_id: str,
         rank: _Rank,
+        kind: enumerations.ErrorKind,
         max_wait: clock.Milliseconds,
         expected_wait: clock.Milliseconds,
     ) -> None:
@@ -78,6 +81,8 @@
             Target that refused.
         rank : tuple of int
             Rank of the request in the queue of the target.
+        kind : enumerations.ErrorKind
+            Kind of the refusal.
         max_wait : clock.Milliseconds
             Longest time that the request could have waited for a slot.
         expected_wait : clock.Milliseconds
@@ -87,7 +92,7 @@
         hold = min(max(expected_wait * _HOLD_FRACTION, _MIN_HOLD), _MAX_HOLD)
         hold *= self._random.uniform(1.0 - _JITTER, 1.0 + _JITTER)
         self._refusals.setdefault(rank, {})[target_id] = _Refusal(
-            max_wait, now + hold, now + expected_wait
+            kind, max_wait, now + hold, now + expected_wait
         )
 
     def list_saturated(
@@ -122,6 +127,20 @@
             for target_id in [t for t in refusals if t not in target_ids]:
                 del refusals[target_id]
 
+    def find_kind(
+        self, target_ids: Collection[str], rank: _Rank
+    ) -> enumerations.ErrorKind:
+        """Return the kind of the refusals if they agree, else OVERLOADED."""
+        refusals = self._refusals.get(rank, {})
+        kinds = {
+            refusals[target_id].kind
+            for target_id in target_ids
+            if target_id in refusals
+        }
+        if len(kinds) == 1:
+            return kinds.pop()
+        return enumerations.ErrorKind.OVERLOADED
+
     def find_expected_wait(
         self, target_ids: Collection[str], rank: _Rank
     ) -> clock.Milliseconds:
--- a/cyclamenwell/routing/tests/test_saturation.py
+++ b/cyclamenwell/routing/tests/test_saturation.py
@@ -5,10 +5,12 @@
 import pytest
 
 from cyclamenwell import clock
+from cyclamenwell.generated import enumerations
 from cyclamenwell.load import fleet_simulation
 from cyclamenwell.load.tests import fleet_builders as builders
 from cyclamenwell.routing import saturation
 
+Kind = enumerations.ErrorKind
 RANK = (1, 1)
 WAIT = clock.Milliseconds(300)
 EXPECTED_WAIT = clock.Milliseconds(400)
@@ -23,7 +25,7 @@
 @pytest.fixture
 def saturated(time):
     saturated = saturation.SaturatedTargets(time, random.Random(1))
-    saturated.note_refusal("t-1", RANK, WAIT, EXPECTED_WAIT)
+    saturated.note_refusal("t-1", RANK, Kind.OVERLOADED, WAIT, EXPECTED_WAIT)
     return saturated
 
 
@@ -47,14 +49,22 @@
     A target reserves some of its slots for requests of lower ranks.
     """
     assert not saturated.list_saturated(["t-1"], (1, 2), WAIT * 0.5)
-    saturated.note_refusal("t-1", (1, 3), WAIT, EXPECTED_WAIT)
+    saturated.note_refusal("t-1", (1, 3), Kind.OVERLOADED, WAIT, EXPECTED_WAIT)
     assert not saturated.list_saturated(["t-1"], (1, 2), WAIT)
     assert saturated.list_saturated(["t-1"], RANK, WAIT) == {"t-1"}
 
 
+def test_the_kind_is_that_of_all_refusals(saturated):
+    """Guards against cold targets that are taken for overloaded ones."""
+    assert saturated.find_kind({"t-1"}, RANK) is Kind.OVERLOADED
+    saturated.note_refusal("t-2", RANK, Kind.COLD, WAIT, EXPECTED_WAIT)
+    assert saturated.find_kind({"t-2"}, RANK) is Kind.COLD
+    assert saturated.find_kind({"t-1", "t-2"}, RANK) is Kind.OVERLOADED
+
+
 def test_refusals_of_removed_targets_are_dropped(saturated):
     """Guards against a memory leak by replaced targets."""
-    saturated.note_refusal("t-2", RANK, WAIT, EXPECTED_WAIT)
+    saturated.note_refusal("t-2", RANK, Kind.OVERLOADED, WAIT, EXPECTED_WAIT)
     saturated.keep_only({"t-2"})
     assert saturated.list_saturated(["t-1", "t-2"], RANK, WAIT) == {"t-2"}
 
@@ -63,7 +73,9 @@
 def test_a_refusal_expires_soon(time, expected_wait):
     """Guards against targets that stay idle after a surge."""
     saturated = saturation.SaturatedTargets(time, random.Random(2))
-    saturated.note_refusal("t-1", RANK, WAIT, clock.Milliseconds(expected_wait))
+    saturated.note_refusal(
+        "t-1", RANK, Kind.OVERLOADED, WAIT, clock.Milliseconds(expected_wait)
+    )
     time.advance(clock.Milliseconds(350))
     assert not saturated.list_saturated(["t-1"], RANK, WAIT)
 
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -257,6 +257,7 @@
             self._saturated.note_refusal(
                 entry.target_id,
                 _find_rank(call),
+                error.kind,
                 max_wait,
                 error.retry_after,
             )
@@ -436,6 +437,7 @@
             organisation=call.organisation,
             caller_service=self._settings.service,
             request=request,
+            route=call.route.name,
         )
 
     def _find_max_wait(self, call: RoutedCall) -> clock.Milliseconds | None:
@@ -470,7 +472,7 @@
         """Return the error for the caller after the last attempt."""
         if failure is None and saturated:
             return exceptions.RefusedError(
-                _Kind.OVERLOADED,
+                self._saturated.find_kind(saturated, _find_rank(call)),
                 f"targets of {call.service} refused a moment ago: "
                 + ", ".join(sorted(saturated)),
                 self._saturated.find_expected_wait(saturated, _find_rank(call)),
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -7,6 +7,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell.admission import refused_calls
 from cyclamenwell.admission import slots
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
@@ -46,6 +47,7 @@
 # for a non-idempotent request that the target may have run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _FIRST_ERROR_STATUS = 400
+_FIRST_FAILURE_STATUS = 500
 # Size of a body up to which an answer is collected before it is passed on, so
 # that one that breaks off can be replaced by the answer of another target.
 _MAX_WHOLE_BYTES = 256 * 1024
@@ -145,6 +147,7 @@
         self.admission_queue = admission_queues.AdmissionQueue(
             time, slots.SlotScheduler(cold_start_limiter)
         )
+        self._refused_calls = refused_calls.RefusedCalls()
         self.entry: deployment.TargetEntry | None = None
         # The services by name, and the configuration that they are from.
         self._services: dict[str, deployment.ServiceInfo] = {}
@@ -303,6 +306,7 @@
             )
         except (OSError, exceptions.CyclamenwellError) as error:
             connection.close()
+            self._note_run(offer.route, is_failed=True)
             raise self._build_failure(error, deadline) from error
         except BaseException:
             # A closed connection tells the target to cancel the request.
@@ -329,10 +333,17 @@
             raise
         self._pool.release(connection, self._find_max_idle(received.max_idle))
         self._validate_answer(offer, received)
+        self._note_run(
+            offer.route, received.answer.status >= _FIRST_FAILURE_STATUS
+        )
         slot.service_time = service_time
         self._metrics.observe("target", service_time)
         return result
 
+    def note_refused_call(self, kind: enumerations.ErrorKind) -> None:
+        """Note that a nested call of the local target was refused."""
+        self._refused_calls.note_refusal(kind, self._time.now())
+
     def close_connections(self) -> None:
         """Close the idle connections to the target."""
         self._pool.close_idle()
@@ -484,6 +495,11 @@
             not_run=False,
         )
 
+    def _note_run(self, route: str, is_failed: bool) -> None:
+        """Note how a run has ended at the target."""
+        if is_failed and self._refused_calls.claim(self._time.now()):
+            self._metrics.count("lost_runs", route)
+
     def _handle_idle_close(self) -> None:
         """Handle an idle connection that the target closed early.
 
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -279,13 +279,14 @@
         """
         node = self._node
         outcome, request_id, route, detail = _Kind.INTERNAL.name, "", "", ""
+        is_nested = False
         retry_after = clock.ZERO
         status = 499
         try:
             received = http_adapter.parse_request(request)
             request_id = received.request_id
             call = await self._route(received, started_at, receiver)
-            route = call.route.name
+            route, is_nested = call.route.name, call.is_nested
             result = await self._run(call, received)
             outcome, status = "answered", result.status
             if result.is_partial:
@@ -294,6 +295,8 @@
         except exceptions.RefusedError as refusal:
             outcome, detail = refusal.kind.name, refusal.detail
             retry_after = refusal.retry_after
+            if is_nested:
+                node.executor.note_refused_call(refusal.kind)
             answer = http_adapter.build_refusal(refusal, request_id)
             status = answer.status
             return answer
--- a/cyclamenwell/sidecar/metrics.py
+++ b/cyclamenwell/sidecar/metrics.py
@@ -20,6 +20,10 @@
 # Help text and label names of each counter.
 _COUNTERS = {
     "exchanges": ("Comparisons of state with other nodes.", ("outcome",)),
+    "lost_runs": (
+        "Requests that failed at the target as a nested call was refused.",
+        ("route",),
+    ),
     "offers": ("Requests for the target beside the node.", ("outcome",)),
     "rejected_entries": (
         "Entries of configurations that are not decoded or only in part.",
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -89,6 +89,7 @@
 
 @contextlib.asynccontextmanager
 async def run_executor(
+    node_metrics: metrics.Metrics | None = None,
     **entry,
 ) -> AsyncIterator[tuple[executors.Executor, fake_target.FakeTarget]]:
     """Run an executor with a published target."""
@@ -109,7 +110,7 @@
             state,
             random.Random(1),
             log,
-            metrics.Metrics(),
+            node_metrics or metrics.Metrics(),
             store_duty.StoreDuty(time, LOOPBACK),
         )
     )
--- a/cyclamenwell/sidecar/tests/test_executor.py
+++ b/cyclamenwell/sidecar/tests/test_executor.py
@@ -10,6 +10,7 @@
 from cyclamenwell.generated import enumerations
 from cyclamenwell.platform.tests import fake_target
 from cyclamenwell.sidecar import executor as executors
+from cyclamenwell.sidecar import metrics
 from cyclamenwell.sidecar import streams
 from cyclamenwell.sidecar.tests import builders
 
@@ -347,6 +348,23 @@
     assert heads == [b"POST /pay/1 HTTP/1.1"[:20]] * 2
 
 
+def test_a_run_that_fails_after_a_refused_call_is_counted():
+    """Guards against lost work that shows in no metric."""
+
+    async def run_scenario():
+        counted = metrics.Metrics()
+        async with builders.run_executor(counted) as (executor, target):
+            target.inject_faults(Fault("failing", 2))
+            await run_request(executor, route="read")
+            assert b"lost_runs" not in counted.render()
+            executor.note_refused_call(Kind.OVERLOADED)
+            result = await run_request(executor, route="read")
+            assert result.status == 500
+            assert b'lost_runs_total{route="read"} 1.0' in counted.render()
+
+    asyncio.run(run_scenario())
+
+
 def test_a_request_to_a_silent_target_times_out_at_its_deadline():
     """Guards against waiting beyond the deadline for a silent target."""
 
