Begin no more requests than the services below can finish

Cause: a request needs five calls to the last service. When that service is short of slots for a moment, the slots go to calls of requests that fail with a later call, callers send the failed requests again, and nothing tells the services above. The state feeds itself, a metastable failure; restarts neither begin nor end it.

The node beside a target now counts the runs that fail right after one of its nested calls was refused, and lowers the rate at which runs of that route begin while more than a tenth is lost. What it refuses has not run, and counts as a refused call at the service above, so the limit reaches the entry. It doubles its growth while nothing is lost, and ends when it is not used.

--- a/cyclamenwell/admission/refused_calls.py
+++ b/cyclamenwell/admission/refused_calls.py
@@ -19,7 +19,12 @@
 # Refusals for lack of capacity. A cold target is left out: it is warm again
 # after a few seconds, whatever its callers do meanwhile.
 _COUNTED_KINDS = frozenset(
-    {_Kind.OVERLOADED, _Kind.TARGET_LIMITED, _Kind.TARGET_SHED}
+    {
+        _Kind.CALLS_REFUSED,
+        _Kind.OVERLOADED,
+        _Kind.TARGET_LIMITED,
+        _Kind.TARGET_SHED,
+    }
 )
 # Time in which a target answers a run after one of its calls was refused.
 _MAX_REACTION = clock.Milliseconds(100)
--- a/cyclamenwell/answers.py
+++ b/cyclamenwell/answers.py
@@ -61,6 +61,7 @@
     _Kind.TARGET_UNREACHABLE: Answer(503, "Target down", _NOT_RUN, True),
     _Kind.TARGET_SHED: Answer(503, "Shed by target", _NOT_RUN, True),
     _Kind.TARGET_LIMITED: Answer(503, "Limited by target", _NOT_RUN, True),
+    _Kind.CALLS_REFUSED: Answer(503, "Calls refused", _NOT_RUN, True),
     _Kind.PEER_UNREACHABLE: Answer(503, "Instance down", _NOT_RUN, True),
     _Kind.CLAIM_UNAVAILABLE: Answer(503, "Too few registrars", _UNKNOWN, False),
     _Kind.KEY_IN_USE: Answer(409, "Request still running", _UNKNOWN, False),
--- a/cyclamenwell/load/chain_simulation.py
+++ b/cyclamenwell/load/chain_simulation.py
@@ -15,6 +15,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell.admission import queue_wait
+from cyclamenwell.admission import run_throttle
 from cyclamenwell.admission import slots
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
@@ -122,6 +123,7 @@
     scheduler: slots.SlotScheduler
     balancer: target_balancer.TargetBalancer
     saturated: saturation.SaturatedTargets
+    throttles: run_throttle.RunThrottles
     is_gone: bool = False
 
 
@@ -133,6 +135,14 @@
     ticket: slots.Ticket
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """Refusal of an offered request."""
+
+    kind: enumerations.ErrorKind
+    retry_after: clock.Milliseconds
+
+
 _Process = Generator[float | _QueuedTicket, bool | None, _Status]
 
 
@@ -216,6 +226,7 @@
                 self.time, host, entry.data_centre, self.random
             ),
             saturation.SaturatedTargets(self.time, self.random),
+            run_throttle.RunThrottles(),
         )
         return entry
 
@@ -296,53 +307,72 @@
                 entries, (), tried, service.name, 0, saturated
             )
             if entry is None:
-                return _Status.REFUSED
+                kind = node.saturated.find_kind(saturated, rank)
+                return self._refuse(node, is_nested, kind)
             tried.add(entry.target_id)
             node.balancer.begin(entry.target_id)
             delay = 0.0 if entry.host == host else _NETWORK_DELAY
             if delay:
                 yield delay
             target = self._nodes[entry.host]
-            retry_after = yield from self._acquire(target, rank, max_wait)
-            if retry_after is None:
+            refusal = yield from self._acquire(target, rank, max_wait)
+            if refusal is None:
                 status = yield from self._run(target, host, deadline)
                 return status
             node.balancer.end(entry.target_id)
             node.balancer.note_load(self._report(target))
-            kind = _Kind.OVERLOADED
-            if target.scheduler.is_cold(self.time.now()):
-                kind = _Kind.COLD
             node.saturated.note_refusal(
-                entry.target_id, rank, kind, max_wait, retry_after
+                entry.target_id,
+                rank,
+                refusal.kind,
+                max_wait,
+                refusal.retry_after,
             )
-            attempts = attempts.add(False, True, kind)
+            attempts = attempts.add(False, True, refusal.kind)
             decision = retry_decisions.decide_retry(
                 attempts,
                 enumerations.RequestKind.IDEMPOTENT,
                 _MAX_ATTEMPTS,
-                kind,
+                refusal.kind,
             )
             if decision is not retry_decisions.RetryDecision.FREE:
-                return _Status.REFUSED
+                return self._refuse(node, is_nested, refusal.kind)
+
+    def _refuse(
+        self, node: _Node, is_nested: bool, kind: enumerations.ErrorKind
+    ) -> _Status:
+        """Refuse a request at its entry node."""
+        if is_nested:
+            node.throttles.note_refused_call(kind, self.time.now())
+        return _Status.REFUSED
 
     def _acquire(
         self,
         target: _Node,
         rank: tuple[int, int],
         max_wait: clock.Milliseconds,
-    ) -> Generator[float | _QueuedTicket, bool, clock.Milliseconds | None]:
-        """Wait for a slot; return the expected wait if there is none."""
+    ) -> Generator[float | _QueuedTicket, bool, _Refusal | None]:
+        """Wait for a slot; return None once it is there."""
         now = self.time.now()
+        route = target.entry.service
+        if not target.throttles.admit(route, now):
+            wait = target.throttles.find_wait(route, now)
+            return _Refusal(_Kind.CALLS_REFUSED, wait)
+        kind = _Kind.OVERLOADED
+        if target.scheduler.is_cold(now):
+            kind = _Kind.COLD
         self._last_number += 1
         ticket = slots.Ticket(rank, self._last_number, now + max_wait)
         decision, retry_after = target.scheduler.offer(ticket, now)
         if decision is slots.Decision.REFUSE:
-            return retry_after
+            return _Refusal(kind, retry_after)
         if decision is slots.Decision.ADMIT:
             return None
         self._start((now + max_wait).value + 1.0, self._check_queue(target))
         is_admitted = yield _QueuedTicket(target, ticket)
-        return None if is_admitted else target.scheduler.service_time
+        if is_admitted:
+            return None
+        return _Refusal(kind, target.scheduler.service_time)
 
     def _run(
         self, target: _Node, host: str, deadline: clock.Milliseconds
@@ -367,7 +397,11 @@
             )
             if called is not _Status.SERVED:
                 status = _Status.FAILED
-        held = self.time.now() - begun_at
+        now = self.time.now()
+        held = now - begun_at
+        target.throttles.note_end(
+            service.name, begun_at, now, status is _Status.FAILED
+        )
         target.scheduler.release(held)
         self._update_queue(target)
         node = self._nodes[host]
--- a/cyclamenwell/retries/retry_decisions.py
+++ b/cyclamenwell/retries/retry_decisions.py
@@ -30,7 +30,13 @@
 _MAX_SATURATED_OFFERS = 2
 # Kinds of refusals by a saturated target.
 SATURATED = frozenset(
-    {_Kind.COLD, _Kind.OVERLOADED, _Kind.TARGET_LIMITED, _Kind.TARGET_SHED}
+    {
+        _Kind.CALLS_REFUSED,
+        _Kind.COLD,
+        _Kind.OVERLOADED,
+        _Kind.TARGET_LIMITED,
+        _Kind.TARGET_SHED,
+    }
 )
 # The limit that one target names says nothing about the others.
 _SATURATED_SERVICE = SATURATED - {_Kind.TARGET_LIMITED}
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -7,7 +7,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
-from cyclamenwell.admission import refused_calls
+from cyclamenwell.admission import run_throttle
 from cyclamenwell.admission import slots
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
@@ -147,7 +147,7 @@
         self.admission_queue = admission_queues.AdmissionQueue(
             time, slots.SlotScheduler(cold_start_limiter)
         )
-        self._refused_calls = refused_calls.RefusedCalls()
+        self._run_throttles = run_throttle.RunThrottles()
         self.entry: deployment.TargetEntry | None = None
         # The services by name, and the configuration that they are from.
         self._services: dict[str, deployment.ServiceInfo] = {}
@@ -233,6 +233,13 @@
             If the target cannot accept the request; it has not run.
         """
         self._check_eligibility(offer)
+        now = self._time.now()
+        if not self._run_throttles.admit(offer.route, now):
+            raise _build_refusal(
+                _Kind.CALLS_REFUSED,
+                "calls that the request needs are refused",
+                self._run_throttles.find_wait(offer.route, now),
+            )
         try:
             slot = await self.admission_queue.acquire(
                 offer.is_nested,
@@ -306,7 +313,7 @@
             )
         except (OSError, exceptions.CyclamenwellError) as error:
             connection.close()
-            self._note_run(offer.route, is_failed=True)
+            self._note_run(offer.route, started_at, is_failed=True)
             raise self._build_failure(error, deadline) from error
         except BaseException:
             # A closed connection tells the target to cancel the request.
@@ -333,16 +340,15 @@
             raise
         self._pool.release(connection, self._find_max_idle(received.max_idle))
         self._validate_answer(offer, received)
-        self._note_run(
-            offer.route, received.answer.status >= _FIRST_FAILURE_STATUS
-        )
+        is_failed = received.answer.status >= _FIRST_FAILURE_STATUS
+        self._note_run(offer.route, started_at, is_failed)
         slot.service_time = service_time
         self._metrics.observe("target", service_time)
         return result
 
     def note_refused_call(self, kind: enumerations.ErrorKind) -> None:
         """Note that a nested call of the local target was refused."""
-        self._refused_calls.note_refusal(kind, self._time.now())
+        self._run_throttles.note_refused_call(kind, self._time.now())
 
     def close_connections(self) -> None:
         """Close the idle connections to the target."""
@@ -495,10 +501,23 @@
             not_run=False,
         )
 
-    def _note_run(self, route: str, is_failed: bool) -> None:
+    def _note_run(
+        self, route: str, begun_at: clock.Milliseconds, is_failed: bool
+    ) -> None:
         """Note how a run has ended at the target."""
-        if is_failed and self._refused_calls.claim(self._time.now()):
+        end = self._run_throttles.note_end(
+            route, begun_at, self._time.now(), is_failed
+        )
+        if end.is_lost:
             self._metrics.count("lost_runs", route)
+        if end.change is not None:
+            self._log.record(
+                "runs.limited",
+                route=route,
+                per_second=end.change.rate_per_second,
+                ended=end.change.ended,
+                lost=end.change.lost,
+            )
 
     def _handle_idle_close(self) -> None:
         """Handle an idle connection that the target closed early.
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -39,6 +39,7 @@
 # Refusals whose retry time is computed from the caller's remaining time.
 _RETRYABLE_KINDS = frozenset(
     {
+        _Kind.CALLS_REFUSED,
         _Kind.COLD,
         _Kind.DATA_CENTRE_OUT,
         _Kind.LEAVING,
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -250,6 +250,25 @@
         return await super().run(call)
 
 
+@dataclasses.dataclass(frozen=True)
+class ExecutorStandin:
+    """Records the refused nested calls of the local target.
+
+    Parameters
+    ----------
+    refused_calls : list of enumerations.ErrorKind
+        Kinds of the refusals.
+    """
+
+    refused_calls: list[enumerations.ErrorKind] = dataclasses.field(
+        default_factory=list
+    )
+
+    def note_refused_call(self, kind: enumerations.ErrorKind) -> None:
+        """Record a refused call."""
+        self.refused_calls.append(kind)
+
+
 def build_route(*services: str, **changes) -> deployment.Route:
     """Return a route that is split evenly between services."""
     values = {
@@ -276,8 +295,10 @@
     dispatcher: DispatcherStandin,
     route: deployment.Route,
     limits: deployment.ClientLimits | None = None,
+    executor: ExecutorStandin | None = None,
+    **configuration,
 ) -> AsyncIterator[tuple[frontends.Frontend, int]]:
-    """Run a frontend with a dispatcher stand-in; yield it and its port."""
+    """Run a frontend with stand-ins; yield it and its port."""
     time = clock.SystemClock()
     log = build_log()
     state = published.PublishedState(time, clock.Milliseconds(2000))
@@ -289,6 +310,7 @@
                 1,
                 routes=(route,),
                 limits=limits or deployment.ClientLimits(),
+                **configuration,
             ),
         )
     )
@@ -305,7 +327,7 @@
         log=log,
         metrics=metrics.Metrics(),
         duty=store_duty.StoreDuty(time, LOOPBACK),
-        executor=None,
+        executor=executor,
         dispatcher=dispatcher,
         rate_limiter=None,
         gossip=None,
--- a/cyclamenwell/sidecar/tests/test_frontend.py
+++ b/cyclamenwell/sidecar/tests/test_frontend.py
@@ -13,6 +13,7 @@
 from cyclamenwell.sidecar import streams
 from cyclamenwell.sidecar.tests import builders
 
+Kind = enumerations.ErrorKind
 TIMEOUT = clock.Milliseconds(2000)
 LARGE = b"x" * (8 * 1024 * 1024)
 
@@ -42,6 +43,33 @@
     asyncio.run(run_scenario())
 
 
+def test_refused_nested_calls_are_reported_to_the_executor():
+    """Guards against a target that begins work which can not be finished."""
+
+    def refuse(call):
+        raise exceptions.RefusedError(Kind.OVERLOADED, "no slot in time")
+
+    async def run_scenario(**configuration):
+        executor = builders.ExecutorStandin()
+        route = builders.build_route("meter", is_public=True)
+        async with builders.run_frontend(
+            builders.DispatcherStandin(refuse),
+            route,
+            executor=executor,
+            **configuration,
+        ) as (_, port):
+            connection = await connect(port)
+            connection.send(builders.encode_call())
+            answer = await connection.receive(TIMEOUT)
+            assert answer.status == 503
+            connection.close()
+        return executor.refused_calls
+
+    assert asyncio.run(run_scenario(needs_keys=True)) == [Kind.OVERLOADED]
+    # Without keys, requests of callers can not be told from nested calls.
+    assert asyncio.run(run_scenario(needs_keys=False)) == []
+
+
 def test_a_caller_that_does_not_read_is_disconnected(monkeypatch):
     """Guards against memory held by callers that stop reading."""
     monkeypatch.setattr(frontends, "_WRITE_TIMEOUT", clock.Milliseconds(300))
