--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -377,10 +377,18 @@
         Folder for settings and logs.
     services : tuple of str
         Service of the target of each machine.
+    settings : str
+        Further lines of the settings files.
     """
 
-    def __init__(self, folder: pathlib.Path, services: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        services: tuple[str, ...],
+        settings: str = "",
+    ) -> None:
         self._folder = folder
+        self._settings = settings
         self._services = services
         self._log = build_log()
         # Each fleet has its own addresses, so that concurrent test runs do not
@@ -588,6 +596,7 @@
 bounds: {{grace_s: 6}}
 app_addr: "{host}:{TARGET_PORT}"
 provider: {{address: "{LOOPBACK}:{self.store.port}"}}
+{self._settings}
 """,
             "utf-8",
         )
@@ -634,6 +643,8 @@
     folder: pathlib.Path,
     services: tuple[str, ...],
     scenario: Callable[[Fleet], Coroutine[Any, Any, None]],
+    settings: str = "",
+    **configuration,
 ) -> None:
     """Run a scenario with a fleet whose nodes are ready.
 
@@ -645,11 +656,15 @@
         Service of the target of each machine.
     scenario : callable
         Is given the fleet.
+    settings : str
+        Further lines of the settings files.
+    **configuration : object
+        Changes of the configuration.
     """
 
     async def run() -> None:
-        fleet = Fleet(folder, services)
-        fleet.publish()
+        fleet = Fleet(folder, services, settings)
+        fleet.publish(**configuration)
         async with fleet.run():
             for machine in fleet.machines:
                 await fleet.wait_ready(machine)
