Keep a body in one object, and limit heads as the configuration says

Bodies are collected in one bytearray. Heads had a fixed limit of 64 KiB whatever the configuration says; they may now have max_header_bytes, and 8 KiB for the path. The parser tells how much it holds, drops a message that is malformed, and can be told to drop what it has.

--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -32,6 +32,10 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 _MAX_HEAD_BYTES = 64 * 1024  # Head and trailer of one message together.
 _HEADER_OVERHEAD_BYTES = 4  # Colon, space and line end of a header.
+# Memory of the objects that hold one header, beside its bytes.
+_HEADER_OBJECT_BYTES = 250
+# Allowance for the path, which is counted with the header section.
+_MAX_PATH_BYTES = 8 * 1024
 _NAME_CACHE_SIZE = 512  # Decoded header names.
 _MAX_INTERIM_ANSWERS = 16
 _MIN_STATUS = 100
@@ -107,6 +111,11 @@
     return name.decode("latin-1").lower()
 
 
+def _measure_request(request: calls.HttpRequest) -> int:
+    """Return the approximate memory for a request."""
+    return len(request.body) + len(request.headers) * _HEADER_OBJECT_BYTES
+
+
 class _MessageParser:
     """Base of the parsers of requests and answers.
 
@@ -129,16 +138,19 @@
         self,
         too_large_kind: enumerations.ErrorKind,
         max_body_bytes: int = MAX_BODY_BYTES,
+        max_head_bytes: int = _MAX_HEAD_BYTES,
     ) -> None:
         self._too_large_kind = too_large_kind
         self._max_body_bytes = max_body_bytes
+        self._max_head_bytes = max_head_bytes
         self._reset()
 
     def _reset(self) -> None:
         self._raw_headers: list[tuple[bytes, bytes]] = []
         self._headers: tuple[httpfields.Header, ...] = ()  # Of a whole head.
         self._checked: dict[str, list[str]] = {}
-        self._body: list[bytes] = []
+        # One object, as chunks may be very small.
+        self._body = bytearray()
         self._in_head = True
         self._head_bytes = 0
         self._body_bytes = 0
@@ -157,7 +169,7 @@
         """Collect a part of the body."""
         self._unfinished_bytes = 0
         self._body_bytes += len(data)
-        self._body.append(data)
+        self._body += data
 
     def _parse(self, data: bytes | memoryview) -> None:
         self._unfinished_bytes += len(data)
@@ -171,9 +183,9 @@
 
     def _check_sizes(self) -> None:
         head_bytes = max(self._head_bytes, self._unfinished_bytes)
-        if head_bytes > _MAX_HEAD_BYTES:
+        if head_bytes > self._max_head_bytes:
             raise exceptions.ProtocolError(
-                f"the head has more than {_MAX_HEAD_BYTES} bytes"
+                f"the head has more than {self._max_head_bytes} bytes"
             )
         self._check_body_size(self._body_bytes)
 
@@ -229,18 +241,44 @@
     ----------
     max_body_bytes : int
         Largest body.
+    max_header_bytes : int
+        Largest header section.
     """
 
-    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
-        super().__init__(_Kind.BODY_TOO_LARGE, max_body_bytes)
+    def __init__(
+        self,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        max_header_bytes: int = _MAX_HEAD_BYTES,
+    ) -> None:
+        super().__init__(
+            _Kind.BODY_TOO_LARGE,
+            max_body_bytes,
+            min(max_header_bytes + _MAX_PATH_BYTES, _MAX_HEAD_BYTES),
+        )
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
         self._keep_alive = False
         self._has_begun = False
         self._expects_continue = False
         self._complete: collections.deque[ReceivedRequest] = collections.deque()
+        # Memory for the complete requests that have not been taken.
+        self._complete_bytes = 0
         self._failure: exceptions.CyclamenwellError | None = None
 
+    @property
+    def held_head_bytes(self) -> int:
+        """Approximate memory for the head in progress."""
+        objects = max(len(self._raw_headers), len(self._headers))
+        return (
+            max(self._head_bytes, self._unfinished_bytes)
+            + objects * _HEADER_OBJECT_BYTES
+        )
+
+    @property
+    def held_body_bytes(self) -> int:
+        """Bytes of bodies, complete or not, that have not been taken."""
+        return len(self._body) + self._complete_bytes
+
     def has_data(self) -> bool:
         """Return whether a request, or a part of one, was received."""
         return bool(self._complete or self._failure or self._has_begun)
@@ -251,6 +289,8 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes."""
+        if self._failure is not None:
+            return
         rest = memoryview(data)
         try:
             while rest:
@@ -258,6 +298,14 @@
         except exceptions.CyclamenwellError as error:
             # Complete requests before the failure are answered first.
             self._failure = error
+            self._reset()
+
+    def discard(self) -> None:
+        """Drop all that was received; no more can be parsed."""
+        self._failure = exceptions.ProtocolError("the request was dropped")
+        self._complete.clear()
+        self._complete_bytes = 0
+        self._reset()
 
     def _parse_to_upgrade(self, data: memoryview) -> memoryview:
         """Parse up to the end of a request for an upgrade; return the rest.
@@ -282,7 +330,9 @@
             If its body is too large.
         """
         if self._complete:
-            return self._complete.popleft()
+            received = self._complete.popleft()
+            self._complete_bytes -= _measure_request(received.request)
+            return received
         if self._failure is not None:
             raise self._failure
         return None
@@ -328,8 +378,9 @@
             method=self._parser.get_method().decode("latin-1"),
             path=self._url.decode("latin-1"),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
         )
+        self._complete_bytes += _measure_request(request)
         self._complete.append(
             ReceivedRequest(
                 request,
@@ -406,7 +457,7 @@
             self._has_extra_data = True
         if not self._is_complete:
             return None
-        body = b"" if self._is_head else b"".join(self._body)
+        body = b"" if self._is_head else bytes(self._body)
         return ReceivedAnswer(
             calls.HttpAnswer(self._status, self._headers, body),
             self._keep_alive and not self._has_extra_data,
@@ -537,7 +588,7 @@
 
     def pop_part(self) -> bytes:
         """Return the bytes of the body that have not been taken yet."""
-        part = b"".join(self._body)
+        part = bytes(self._body)
         self._body.clear()
         # The limit on the size applies to what is held.
         self._body_bytes = 0
@@ -588,7 +639,7 @@
             self.keep_alive = keep_alive
             return
         answer = calls.HttpAnswer(
-            self._status, self._headers, b"".join(self._body)
+            self._status, self._headers, bytes(self._body)
         )
         self._complete.append(ReceivedAnswer(answer, keep_alive))
         self._is_in_answer = False
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -131,7 +131,10 @@
         now = self._node.time.now()
         self._streams[stream] = False
         self._awaiting_first_request[stream] = now
-        parser = http1.RequestParser(self._limits.max_body_bytes)
+        limits = self._limits
+        parser = http1.RequestParser(
+            limits.max_body_bytes, limits.max_header_bytes
+        )
         connection = _CallerConnection(stream, parser, now)
         try:
             while await self._serve_next(connection):
