Close idle connections for new ones when descriptors run out

Idle callers could take all descriptors of a node, at any of its ports, and readiness checks and ordinary callers were shut out; the listener also polled without a pause while none was free. Each listener now has a part of limits.max_fds. When it has no room, it closes the oldest connection without a running request, which is rarely that of an ordinary caller. Streams read 64 KiB at a time, and 16 KiB when no task waits, as up to 256 of them are read in one turn. The settings memory_mb and max_fds are read.

--- a/cyclamenwell/platform/settings.py
+++ b/cyclamenwell/platform/settings.py
@@ -87,8 +87,21 @@
                 reads_per_second=self._read_rate(provider, "reads_per_s"),
             ),
             bounds=self._decode_bounds(),
+            **self._decode_limits(),
         )
 
+    def _decode_limits(self) -> dict[str, Any]:
+        """Return the limits of the process that are stated."""
+        raw: Mapping[str, Any] = {}
+        if self._raw.get("limits") is not None:
+            raw = self._read_mapping(self._raw, "limits")
+        limits: dict[str, Any] = {}
+        if _is_positive(raw.get("memory_mb")):
+            limits["memory_mb"] = float(raw["memory_mb"])
+        if _is_positive(raw.get("max_fds")):
+            limits["max_descriptors"] = int(raw["max_fds"])
+        return limits
+
     def _decode_bounds(self) -> sidecar.Bounds:
         """Return the bounds; missing ones get the defaults of the schema."""
         raw: Mapping[str, Any] = {}
@@ -147,7 +160,7 @@
         value = mapping.get(name)
         if value is None:
             return _DEFAULT_READS_PER_SECOND
-        if not _is_number(value) or value <= 0:
+        if not _is_positive(value):
             raise self._build_error(name, value, "a positive number")
         return float(value)
 
@@ -176,5 +189,9 @@
         )
 
 
+def _is_positive(value: object) -> bool:
+    return _is_number(value) and value > 0
+
+
 def _is_number(value: object) -> bool:
     return isinstance(value, (int, float)) and not isinstance(value, bool)
--- a/cyclamenwell/platform/tests/test_settings.py
+++ b/cyclamenwell/platform/tests/test_settings.py
@@ -60,3 +60,21 @@
     """Guards against an unexpected type of exception at start-up."""
     with pytest.raises(exceptions.SettingsError):
         settings.read_settings(write_settings(tmp_path, text))
+
+
+@pytest.mark.parametrize(
+    ("limits", "memory_mb", "max_descriptors"),
+    [
+        ("{memory_mb: 120, max_fds: 900}", 120.0, 900),
+        ("{memory_mb: none, max_fds: -1}", 300.0, 4100),
+        ("{}", 300.0, 4100),
+    ],
+)
+def test_limits_of_the_process_are_read(
+    tmp_path, limits, memory_mb, max_descriptors
+):
+    """Guards against a node that holds more than its machine has."""
+    text = f"{builders.SETTINGS}\nlimits: {limits}\n"
+    read = settings.read_settings(write_settings(tmp_path, text))
+    assert read.memory_mb == memory_mb
+    assert read.max_descriptors == max_descriptors
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -166,6 +166,7 @@
         if received is None:
             return False
         self._streams[stream] = True
+        stream.is_in_use = True
         receiver = receivers.CallerReceiver(
             stream,
             received.request.method,
@@ -176,6 +177,7 @@
             answer = await self._answer(
                 received.request, receiver, connection.read_at
             )
+        stream.is_in_use = False
         keep_alive = receiver.keep_alive
         if answer is not None:
             keep_alive = received.keep_alive and not self.is_leaving
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -40,8 +40,10 @@
             return
         if message is None:
             return
+        stream.is_in_use = True
         with stream.cancel_on_disconnect():
             await _handle(message, node, link)
+        stream.is_in_use = False
 
 
 @functools.singledispatch
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -54,6 +54,11 @@
 _KILL_MARGIN = clock.Milliseconds(800)
 _STOP_CHECK_INTERVAL = clock.Milliseconds(100)
 _HELD_CHECK_INTERVAL = clock.Milliseconds(500)
+# Parts of the descriptors for the connections that each listener accepts. The
+# rest is for connections to targets, peers and the store, and for files.
+_CALLER_DESCRIPTOR_PART = 0.5
+_PEER_DESCRIPTOR_PART = 0.25
+_OPERATIONS_DESCRIPTOR_PART = 0.02
 _UNKNOWN_AGE = clock.Milliseconds(math.nan)
 
 
@@ -160,10 +165,18 @@
         gc.freeze()
         address = settings.caller_address
         listener = streams.Listener(
-            address.host, address.port, self._frontend.serve, self._log
+            address.host,
+            address.port,
+            self._frontend.serve,
+            self._log,
+            self._find_max_connections(_CALLER_DESCRIPTOR_PART),
         )
         streams.Listener(
-            settings.host, settings.peer_port, self._serve_peer, self._log
+            settings.host,
+            settings.peer_port,
+            self._serve_peer,
+            self._log,
+            self._find_max_connections(_PEER_DESCRIPTOR_PART),
         )
         self._listen_operations()
         tasks = [
@@ -215,18 +228,23 @@
         )
         metrics.add_gauge("store_reader", lambda: float(self._duty.is_reader))
 
+    def _find_max_connections(self, part: float) -> int:
+        """Return the connections that one listener may have."""
+        return max(int(self._settings.max_descriptors * part), 1)
+
     def _listen_operations(self) -> None:
         ready = self._settings.ready_address
+        addresses = [(self._settings.host, self._settings.metrics_port)]
         if ready.port:
+            addresses.append((ready.host, ready.port))
+        for host, port in addresses:
             streams.Listener(
-                ready.host, ready.port, self._operations.serve, self._log
+                host,
+                port,
+                self._operations.serve,
+                self._log,
+                self._find_max_connections(_OPERATIONS_DESCRIPTOR_PART),
             )
-        streams.Listener(
-            self._settings.host,
-            self._settings.metrics_port,
-            self._operations.serve,
-            self._log,
-        )
 
     async def _serve_peer(self, stream: streams.Stream) -> None:
         self._peer_connections += 1
--- a/cyclamenwell/sidecar/streams.py
+++ b/cyclamenwell/sidecar/streams.py
@@ -17,8 +17,8 @@
 # Limit of unsent bytes per connection above which writers wait, so that a slow
 # reader does not use up the node's memory.
 _MAX_UNSENT_BYTES = 256 * 1024
-# Limit of received bytes that no task has read; more stay in the kernel.
-_MAX_UNREAD_BYTES = 256 * 1024
+# Limit of received bytes that no task waits for; more stay in the kernel.
+_MAX_UNREAD_BYTES = 16 * 1024
 # A silent peer is detected within about 3 s: idle time, then two probes.
 _KEEPALIVE_IDLE_SECONDS = 1
 _KEEPALIVE_INTERVAL_SECONDS = 1
@@ -27,7 +27,11 @@
 _BACKLOG = 1024
 # Linger is on, for zero seconds: closing discards unsent bytes and resets.
 _LINGER_WITH_RESET = struct.pack("ii", 1, 0)
-_RECEIVE_BYTES = 256 * 1024
+# In one turn of the event loop, up to 256 connections are read.
+_RECEIVE_BYTES = 64 * 1024
+# Pause after a connection could not be accepted for lack of a descriptor, since
+# the listening socket stays readable.
+_ACCEPT_PAUSE = clock.Milliseconds(100)
 # A closed connection with unsent bytes is aborted after this time.
 _CLOSE_TIMEOUT = clock.Milliseconds(10_000)
 # A timer that is not due for this time stays armed after the data has arrived,
@@ -79,6 +83,9 @@
         self._writer: asyncio.Future | None = None
         self._close_callback: Callable[[], object] | None = None
         self._data_callback: Callable[[], object] | None = None
+        # Whether a request on the connection is being answered. A listener
+        # without room closes the oldest connection that is not in use.
+        self.is_in_use = False
         self._begin_reading()
 
     @property
@@ -96,6 +103,11 @@
         """Whether all bytes have been handed to the kernel."""
         return not self._unsent
 
+    @property
+    def held_bytes(self) -> int:
+        """Received and unsent bytes that are held."""
+        return len(self._received) + len(self._unsent)
+
     @property
     def waited(self) -> clock.Milliseconds:
         """How long the bytes of the last `receive` had waited to be taken."""
@@ -274,8 +286,10 @@
 
     def _read(self) -> None:
         """Buffer received bytes and wake the reading task."""
+        is_awaited = self._reader is not None and not self._reader.done()
+        size = _RECEIVE_BYTES if is_awaited else _MAX_UNREAD_BYTES
         try:
-            data = self._socket.recv(_RECEIVE_BYTES, socket.MSG_DONTWAIT)
+            data = self._socket.recv(size, socket.MSG_DONTWAIT)
         except BlockingIOError:
             return
         except OSError as error:
@@ -441,6 +455,9 @@
         Serves one connection.
     log : structured_log.StructuredLog
         Receives failures of the tasks.
+    max_connections : int or None
+        Connections that may be open at once, None for any number. Beyond
+        them, the oldest one that is not in use is closed for a new one.
     """
 
     def __init__(
@@ -449,11 +466,14 @@
         port: int,
         serve: Callable[[Stream], Coroutine[Any, Any, None]],
         log: structured_log.StructuredLog,
+        max_connections: int | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._serve = serve
         self._log = log
-        self._tasks: set[asyncio.Task] = set()
+        self._max_connections = max_connections
+        # Tasks by stream, in the order in which they were accepted.
+        self._tasks: dict[Stream, asyncio.Task] = {}
         self._socket = socket.create_server((host, port), backlog=_BACKLOG)
         self._socket.setblocking(False)
         self.port: int = self._socket.getsockname()[1]
@@ -481,15 +501,42 @@
         except OSError as error:
             # If no descriptor is free, the connection stays in the backlog.
             self._log.record("connection.not_accepted", error=repr(error))
+            self._pause()
             return False
+        if not self._make_room():
+            self._log.record("connection.refused", open=len(self._tasks))
+            connection.close()
+            return True
         stream = Stream(connection, self._loop)
         task = self._loop.create_task(
             _serve_one(stream, self._serve, self._log)
         )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[stream] = task
+        task.add_done_callback(lambda _: self._tasks.pop(stream, None))
+        return True
+
+    def _make_room(self) -> bool:
+        """Close a connection if all are open; return whether one may open."""
+        limit = self._max_connections
+        if limit is None or len(self._tasks) < limit:
+            return True
+        oldest = next((s for s in self._tasks if not s.is_in_use), None)
+        if oldest is None:
+            return False
+        self._log.record("connection.closed_for_room", open=len(self._tasks))
+        del self._tasks[oldest]
+        oldest.abort()
         return True
 
+    def _pause(self) -> None:
+        """Stop accepting connections for a moment."""
+        self._loop.remove_reader(self._socket)
+        self._loop.call_later(_ACCEPT_PAUSE.seconds, self._resume)
+
+    def _resume(self) -> None:
+        if self._socket.fileno() >= 0:
+            self._loop.add_reader(self._socket, self._accept)
+
 
 async def _serve_one(
     stream: Stream,
