Count what a node holds for callers and peers in one account

Callers outside of the limits ended a process: a limit for each connection bounds nothing when the number of connections is free. 60 bodies of 2 MB that stop one byte short of their end took a node to 148 MB, 200 heads of short lines to 218 MB, 60 whole bodies to 178 MB, messages at the port of peers to 147 MB.

One account now counts heads by their objects, bodies with their copies, bytes that nobody has read, and bodies that a node has accepted from another one, whose size an offer states. It has half of limits.memory_mb less 40 MB. When it is full, the largest connection without a running request gives way: a request that is being received is refused as not run, the others are closed. Its memory is given back at once, since hundreds of connections may be read in one turn. One large request is served while the others hold little.

--- a/cyclamenwell/sidecar/context.py
+++ b/cyclamenwell/sidecar/context.py
@@ -6,6 +6,7 @@
 import random
 
 from cyclamenwell import clock
+from cyclamenwell.admission import memory_account
 from cyclamenwell.configuration import published
 from cyclamenwell.configuration import store_duty
 from cyclamenwell.generated import sidecar
@@ -35,6 +36,8 @@
         Counters and histograms of outcomes.
     duty : store_duty.StoreDuty
         Whether the node reads the store, and how old its knowledge is.
+    memory : memory_account.MemoryAccount
+        Memory held for callers and peers.
     """
 
     settings: sidecar.SidecarSettings
@@ -44,3 +47,4 @@
     log: structured_log.StructuredLog
     metrics: metrics_module.Metrics
     duty: store_duty.StoreDuty
+    memory: memory_account.MemoryAccount
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -288,7 +288,11 @@
             and len(call.request.body) <= _MAX_INLINE_BYTES
         )
         offer = self._build_offer(
-            call, entry, max_wait, call.request if is_inline else None
+            call,
+            entry,
+            max_wait,
+            call.request if is_inline else None,
+            len(call.request.body),
         )
         is_sent = False
         try:
@@ -424,6 +428,7 @@
         entry: deployment.TargetEntry,
         max_wait: clock.Milliseconds,
         request: deployment.ForwardedRequest | None,
+        body_bytes: int = 0,
     ) -> deployment.Offer:
         return deployment.Offer(
             request_id=call.request_id,
@@ -438,6 +443,7 @@
             caller_service=self._settings.service,
             request=request,
             route=call.route.name,
+            body_bytes=body_bytes,
         )
 
     def _find_max_wait(self, call: RoutedCall) -> clock.Milliseconds | None:
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -109,10 +109,16 @@
         self._offer = offer
 
     async def __aenter__(self) -> admission_queues.Slot:
-        self._slot = await self._executor.acquire_slot(self._offer)
-        return self._slot
+        executor, offer = self._executor, self._offer
+        slot = await executor.acquire_slot(offer)
+        if not executor.memory.reserve(offer.body_bytes):
+            executor.admission_queue.release(slot)
+            raise _build_refusal(_Kind.OVERLOADED, "no memory for the body")
+        self._slot = slot
+        return slot
 
     async def __aexit__(self, *failure: object) -> None:
+        self._executor.memory.release(self._offer.body_bytes)
         self._executor.admission_queue.release(self._slot)
 
 
@@ -130,6 +136,7 @@
         self._settings = settings
         self._time = time
         self._state = context.state
+        self.memory = context.memory
         self._log = context.log
         self._metrics = context.metrics
         address = settings.target_address
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell.admission import memory_account
 from cyclamenwell.admission import queue_wait
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
@@ -54,7 +56,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _CallerConnection:
     """A connection of a caller and what has been read from it."""
 
@@ -62,6 +64,35 @@
     parser: http1.RequestParser
     # Arrival of the bytes read last. The next request may be among them.
     read_at: clock.Milliseconds
+    # Size of the body of the request that runs.
+    running_bytes: int = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that is held for the caller."""
+        bodies = self.parser.held_body_bytes + self.running_bytes
+        return (
+            bodies * memory_account.BODY_COPIES
+            + self.parser.held_head_bytes
+            + self.stream.held_bytes
+        )
+
+    @property
+    def is_evictable(self) -> bool:
+        """Whether no request of the caller runs."""
+        return not self.stream.is_in_use
+
+    def evict(self) -> None:
+        """Refuse the request that is being received, and disconnect."""
+        if self.parser.has_data() and self.stream.is_flushed:
+            refusal = exceptions.RefusedError(
+                _Kind.OVERLOADED, "no memory for the request"
+            )
+            answer = http_adapter.build_refusal(refusal, "")
+            with contextlib.suppress(OSError):
+                self.stream.send(encoding.encode_answer(answer, "GET", False))
+        self.stream.abort()
+        self.parser.discard()
 
 
 class Frontend:
@@ -140,6 +171,7 @@
             while await self._serve_next(connection):
                 self._streams[stream] = False
         finally:
+            self._node.memory.remove(connection)
             del self._streams[stream]
             self._awaiting_first_request.pop(stream, None)
 
@@ -160,13 +192,15 @@
                 refusal = exceptions.RefusedError(_Kind.BAD_REQUEST, str(error))
             self._node.log.record("request.malformed", error=str(error))
             answer = http_adapter.build_refusal(refusal, "")
-            await self._write(stream, answer, "GET", keep_alive=False)
+            stream.send(encoding.encode_answer(answer, "GET", False))
+            await stream.flush(_WRITE_TIMEOUT)
             await self._linger(stream)
             return False
         if received is None:
             return False
         self._streams[stream] = True
         stream.is_in_use = True
+        connection.running_bytes = len(received.request.body)
         receiver = receivers.CallerReceiver(
             stream,
             received.request.method,
@@ -177,12 +211,15 @@
             answer = await self._answer(
                 received.request, receiver, connection.read_at
             )
+        connection.running_bytes = 0
         stream.is_in_use = False
         keep_alive = receiver.keep_alive
         if answer is not None:
             keep_alive = received.keep_alive and not self.is_leaving
             method = received.request.method
-            await self._write(stream, answer, method, keep_alive)
+            stream.send(encoding.encode_answer(answer, method, keep_alive))
+            self._node.memory.update(connection)
+            await stream.flush(_WRITE_TIMEOUT)
         if received.keep_alive and not keep_alive:
             await self._linger(stream)
         return keep_alive
@@ -237,6 +274,7 @@
             now = self._node.time.now()
             connection.read_at = now - stream.waited
             parser.feed(data)
+            self._node.memory.update(connection)
             if not is_in_body and parser.has_complete_head():
                 is_in_body = True
                 end = now + _BODY_TIMEOUT
@@ -245,16 +283,6 @@
             timeout = end - now
         return received
 
-    async def _write(
-        self,
-        stream: streams.Stream,
-        answer: calls.HttpAnswer,
-        method: str,
-        keep_alive: bool,
-    ) -> None:
-        stream.send(encoding.encode_answer(answer, method, keep_alive))
-        await stream.flush(_WRITE_TIMEOUT)
-
     async def _answer(
         self,
         request: calls.HttpRequest,
--- a/cyclamenwell/sidecar/handlers.py
+++ b/cyclamenwell/sidecar/handlers.py
@@ -28,22 +28,29 @@
 ) -> None:
     """Serve the connection of another node until it is closed."""
     stream.enable_keepalive()
-    link = peers.Link(stream)
-    while True:
-        try:
-            message = await link.receive(_IDLE_TIMEOUT)
-        except TimeoutError:
-            return
-        except exceptions.ProtocolError as error:
-            node.log.record("peer.malformed", error=str(error))
-            stream.abort()
-            return
-        if message is None:
-            return
-        stream.is_in_use = True
-        with stream.cancel_on_disconnect():
-            await _handle(message, node, link)
-        stream.is_in_use = False
+    link = peers.Link(stream, node.memory)
+    try:
+        while (message := await _receive_message(node, link)) is not None:
+            stream.is_in_use = True
+            with stream.cancel_on_disconnect():
+                await _handle(message, node, link)
+            stream.is_in_use = False
+    finally:
+        node.memory.remove(link)
+
+
+async def _receive_message(
+    node: components.Components, link: peers.Link
+) -> Any | None:
+    """Return the next message of a peer, or None if there will be none."""
+    try:
+        return await link.receive(_IDLE_TIMEOUT)
+    except TimeoutError:
+        return None
+    except exceptions.ProtocolError as error:
+        node.log.record("peer.malformed", error=str(error))
+        link.stream.abort()
+        return None
 
 
 @functools.singledispatch
--- a/cyclamenwell/sidecar/peers.py
+++ b/cyclamenwell/sidecar/peers.py
@@ -9,6 +9,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell.admission import memory_account
 from cyclamenwell.generated import deployment
 from cyclamenwell.peers import codec
 from cyclamenwell.sidecar import streams
@@ -35,12 +36,35 @@
     ----------
     stream : streams.Stream
         Open connection.
+    memory : memory_account.MemoryAccount or None
+        Account of the messages that are being received, None if the other
+        side only replies.
     """
 
-    def __init__(self, stream: streams.Stream) -> None:
+    def __init__(
+        self,
+        stream: streams.Stream,
+        memory: memory_account.MemoryAccount | None = None,
+    ) -> None:
         self.stream = stream
+        self._memory = memory
         self._buffer = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are held for the connection."""
+        return len(self._buffer) + self.stream.held_bytes
+
+    @property
+    def is_evictable(self) -> bool:
+        """Whether no exchange is in progress."""
+        return not self.stream.is_in_use
+
+    def evict(self) -> None:
+        """Close the connection."""
+        self.stream.abort()
+        self._buffer.clear()
+
     async def send(self, message: Any) -> None:
         """Send a message.
 
@@ -82,6 +106,8 @@
             data = await self.stream.receive(timeout)
             if data:
                 self._buffer += data
+                if self._memory is not None:
+                    self._memory.update(self)
                 timeout = clock.Milliseconds.from_seconds(end - loop.time())
                 continue
             if self._buffer:
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -16,6 +16,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell.admission import memory_account
 from cyclamenwell.configuration import published
 from cyclamenwell.configuration import store_duty
 from cyclamenwell.generated import deployment
@@ -108,6 +109,9 @@
             log,
             self._metrics,
             self._duty,
+            memory_account.MemoryAccount(
+                memory_account.find_capacity(settings.memory_mb)
+            ),
         )
         self._balancer = target_balancer.TargetBalancer(
             time, settings.host, settings.data_centre, generator
@@ -131,6 +135,7 @@
             log=log,
             metrics=self._metrics,
             duty=self._duty,
+            memory=context.memory,
             executor=executor,
             dispatcher=dispatchers.Dispatcher(
                 context,
@@ -216,6 +221,8 @@
         metrics.add_gauge("running", lambda: slot_scheduler.running)
         metrics.add_gauge("queued", lambda: slot_scheduler.queued)
         metrics.add_gauge("slot_limit", lambda: slot_scheduler.limit)
+        memory = self._node.memory
+        metrics.add_gauge("held_bytes", lambda: memory.total_bytes)
         metrics.add_gauge("connections", lambda: self._frontend.connections)
         metrics.add_gauge("peer_connections", lambda: self._peer_connections)
         metrics.add_gauge(
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -19,6 +19,7 @@
 
 from cyclamenwell import clock
 from cyclamenwell import exceptions
+from cyclamenwell.admission import memory_account
 from cyclamenwell.configuration import published
 from cyclamenwell.configuration import store_duty
 from cyclamenwell.configuration.tests import published_builders
@@ -62,6 +63,11 @@
     )
 
 
+def build_account() -> memory_account.MemoryAccount:
+    """Return an empty account with the capacity of a usual node."""
+    return memory_account.MemoryAccount(memory_account.find_capacity(300.0))
+
+
 def build_offer(**changes) -> deployment.Offer:
     """Return an offer of a request that is not idempotent."""
     values = {
@@ -112,6 +118,7 @@
             log,
             node_metrics or metrics.Metrics(),
             store_duty.StoreDuty(time, LOOPBACK),
+            build_account(),
         )
     )
     state.apply_operators(
@@ -327,6 +334,7 @@
         log=log,
         metrics=metrics.Metrics(),
         duty=store_duty.StoreDuty(time, LOOPBACK),
+        memory=build_account(),
         executor=executor,
         dispatcher=dispatcher,
         rate_limiter=None,
--- a/cyclamenwell/sidecar/tests/test_store_reader.py
+++ b/cyclamenwell/sidecar/tests/test_store_reader.py
@@ -60,6 +60,7 @@
             log,
             metrics.Metrics(),
             duty or store_duty.StoreDuty(time, builders.LOOPBACK),
+            builders.build_account(),
         )
     )
     tasks = [asyncio.create_task(reader.watch_targets())]
