Close no ordinary callers while one large request runs

A request above the capacity of the account that ran already could not be evicted, so all other connections were, however little they held, and requests without a body were refused at the node beside the target. Found by reading the account. The room for one large request now also holds while it runs, and connections that hold less than 16 KiB are kept, since closing them gives nothing back. The unit test failed before; the largest allowed request is served by real processes with 80 MB.

--- a/cyclamenwell/admission/memory_account.py
+++ b/cyclamenwell/admission/memory_account.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import Protocol
 
 __all__ = ["BODY_COPIES", "Holder", "MemoryAccount", "find_capacity"]
@@ -23,8 +24,11 @@
 BODY_COPIES = 3
 # After an eviction some room is left, so that not each byte causes another.
 _TARGET_PART = 0.9
-# A single large request is served while the others hold less than this part.
+# One large request may hold more than the account while all others together
+# hold less than this part.
 _CALM_PART = 0.25
+# To close connections that hold less gives no memory back.
+_MIN_EVICTED_BYTES = 16 * 1024
 
 
 class Holder(Protocol):
@@ -54,6 +58,8 @@
     def __init__(self, capacity_bytes: int) -> None:
         self._capacity = capacity_bytes
         self._held: dict[Holder, int] = {}
+        # Reserved memory: the number of reservations of each size.
+        self._reserved: collections.Counter[int] = collections.Counter()
         self._total = 0
 
     @property
@@ -74,20 +80,29 @@
     def reserve(self, size: int) -> bool:
         """Reserve memory for a body; return whether there was room.
 
-        A body that is larger than the account is accepted in calm, too.
+        A body of any size is accepted while little else is held.
         """
         needed = size * BODY_COPIES
-        is_calm = self._total <= self._capacity * _CALM_PART
-        if self._total + needed > self._capacity and not is_calm:
-            self._measure_all()
-            if self._total + needed > self._capacity:
-                return False
-        self._total += needed
-        return True
+        self._reserve(needed, 1)
+        if needed < _MIN_EVICTED_BYTES or self._total <= self._capacity:
+            return True
+        self._measure_all()
+        if self._has_room():
+            return True
+        self._reserve(needed, -1)
+        return False
 
     def release(self, size: int) -> None:
         """Give back the memory that was reserved for a body."""
-        self._total -= size * BODY_COPIES
+        self._reserve(size * BODY_COPIES, -1)
+
+    def _reserve(self, needed: int, count: int) -> None:
+        if not needed:
+            return
+        self._total += needed * count
+        self._reserved[needed] += count
+        if not self._reserved[needed]:
+            del self._reserved[needed]
 
     def _measure(self, holder: Holder) -> None:
         held = holder.held_bytes
@@ -101,20 +116,31 @@
     def _make_room(self) -> None:
         """Evict the largest holders until there is room again."""
         self._measure_all()
-        if self._total <= self._capacity:
+        if self._has_room():
             return
         evictable = sorted(
-            (holder for holder in self._held if holder.is_evictable),
+            (
+                holder
+                for holder, held in self._held.items()
+                if held >= _MIN_EVICTED_BYTES and holder.is_evictable
+            ),
             key=self._held.__getitem__,
         )
-        while evictable and self._total > self._capacity * _TARGET_PART:
+        while evictable and not self._has_room(_TARGET_PART):
             largest = evictable.pop()
-            others = self._total - self._held[largest]
-            if others <= self._capacity * _CALM_PART:
-                return
             self.remove(largest)
             largest.evict()
 
+    def _has_room(self, part: float = 1.0) -> bool:
+        """Return whether all is within a part of the account, or in calm."""
+        if self._total <= self._capacity * part:
+            return True
+        largest = max(
+            max(self._held.values(), default=0),
+            max(self._reserved, default=0),
+        )
+        return self._total - largest <= self._capacity * _CALM_PART
+
 
 def find_capacity(memory_mb: float) -> int:
     """Return the capacity of the account of a process.
--- a/cyclamenwell/sidecar/tests/test_hostile_callers.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_callers.py
@@ -164,3 +164,27 @@
     """Guards against bodies and connections at ports without callers."""
     payloads = [callers.split_body(BODY_BYTES) for _ in range(60)]
     run_with_crowd(tmp_path, payloads + [iter(()) for _ in range(300)], port)
+
+
+def test_the_largest_allowed_request_is_served_in_calm(tmp_path):
+    """Guards against uploads within the limits that are always refused."""
+
+    async def run_scenario(fleet):
+        answer = await fleet.send_request(
+            fleet.machines[0],
+            "POST",
+            body=b"x" * (4 * MB),
+            deadline_ms=6000,
+        )
+        assert answer.status == 200
+        (run,) = fleet.machines[1].target.runs
+        assert len(run.request.body) == 4 * MB
+        await check_health(fleet)
+
+    builders.run_fleet(
+        tmp_path,
+        ("desk", "meter"),
+        run_scenario,
+        settings=SETTINGS,
+        **CONFIGURATION,
+    )
