Limit no runs for faulty targets, and raise the limit faster

The first version of the limit counted requests that a target sheds. The node beside a target sends no more than it has slots for, so a target that sheds is faulty: fewer requests fail at the same share, and the limit stayed at its least after the fault.

--- a/cyclamenwell/admission/refused_calls.py
+++ b/cyclamenwell/admission/refused_calls.py
@@ -16,15 +16,12 @@
 __all__ = ["RefusedCalls"]
 
 _Kind = enumerations.ErrorKind
-# Refusals for lack of capacity. A cold target is left out: it is warm again
-# after a few seconds, whatever its callers do meanwhile.
+# Refusals for lack of capacity. Cold targets are left out: they are warm again
+# after a few seconds, whatever their callers do meanwhile. So are requests that
+# a target sheds, since its node sends it no more than it has slots for: it is
+# faulty, and fails as many of fewer requests.
 _COUNTED_KINDS = frozenset(
-    {
-        _Kind.CALLS_REFUSED,
-        _Kind.OVERLOADED,
-        _Kind.TARGET_LIMITED,
-        _Kind.TARGET_SHED,
-    }
+    {_Kind.CALLS_REFUSED, _Kind.OVERLOADED, _Kind.TARGET_LIMITED}
 )
 # Time in which a target answers a run after one of its calls was refused.
 _MAX_REACTION = clock.Milliseconds(100)
--- a/cyclamenwell/admission/run_throttle.py
+++ b/cyclamenwell/admission/run_throttle.py
@@ -32,7 +32,7 @@
 _DECREASE = 0.3
 _MIN_DECREASE = 0.1
 # The rate grows by this share, twice as much each time that no run is lost.
-_FIRST_INCREASE = 0.1
+_FIRST_INCREASE = 0.3
 _MAX_INCREASE = 1.0
 _MIN_RATE_PER_SECOND = 2.0
 # The limit ends when it is this far above the rate of the runs.
--- a/cyclamenwell/admission/tests/test_refused_calls.py
+++ b/cyclamenwell/admission/tests/test_refused_calls.py
@@ -27,7 +27,10 @@
     assert not calls.claim(clock.Milliseconds(500))
 
 
-@pytest.mark.parametrize("kind", [Kind.COLD, Kind.NO_SUCH_ROUTE, Kind.LEAVING])
+@pytest.mark.parametrize(
+    "kind",
+    [Kind.COLD, Kind.NO_SUCH_ROUTE, Kind.LEAVING, Kind.TARGET_SHED],
+)
 def test_only_a_lack_of_capacity_counts(kind):
     """Guards against requests refused for a reason that load can not mend."""
     calls = refused_calls.RefusedCalls()
