Count the headers of requests that run

The account counted a running request by its body alone, so many small headers of requests that wait for a slot were not counted, neither at the entry node nor at the node beside the target. Offers now state the memory for the whole request.

--- a/cyclamenwell/node/http1.py
+++ b/cyclamenwell/node/http1.py
@@ -14,6 +14,7 @@
 import httptools
 
 from cyclamenwell import exceptions
+from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
 from cyclamenwell.generated import httpfields
 from cyclamenwell.node import calls
@@ -26,6 +27,7 @@
     "ReceivedAnswer",
     "ReceivedRequest",
     "RequestParser",
+    "measure_request",
 ]
 
 _Kind = enumerations.ErrorKind
@@ -111,7 +113,9 @@
     return name.decode("latin-1").lower()
 
 
-def _measure_request(request: calls.HttpRequest) -> int:
+def measure_request(
+    request: calls.HttpRequest | deployment.ForwardedRequest,
+) -> int:
     """Return the approximate memory for a request."""
     return len(request.body) + len(request.headers) * _HEADER_OBJECT_BYTES
 
@@ -331,7 +335,7 @@
         """
         if self._complete:
             received = self._complete.popleft()
-            self._complete_bytes -= _measure_request(received.request)
+            self._complete_bytes -= measure_request(received.request)
             return received
         if self._failure is not None:
             raise self._failure
@@ -380,7 +384,7 @@
             headers=self._headers,
             body=bytes(self._body),
         )
-        self._complete_bytes += _measure_request(request)
+        self._complete_bytes += measure_request(request)
         self._complete.append(
             ReceivedRequest(
                 request,
--- a/cyclamenwell/sidecar/dispatcher.py
+++ b/cyclamenwell/sidecar/dispatcher.py
@@ -10,6 +10,7 @@
 from cyclamenwell.admission import slots
 from cyclamenwell.generated import deployment
 from cyclamenwell.generated import enumerations
+from cyclamenwell.node import http1
 from cyclamenwell.retries import retry_decisions
 from cyclamenwell.retries import window_budget
 from cyclamenwell.routing import saturation
@@ -292,7 +293,7 @@
             entry,
             max_wait,
             call.request if is_inline else None,
-            len(call.request.body),
+            http1.measure_request(call.request),
         )
         is_sent = False
         try:
@@ -428,7 +429,7 @@
         entry: deployment.TargetEntry,
         max_wait: clock.Milliseconds,
         request: deployment.ForwardedRequest | None,
-        body_bytes: int = 0,
+        request_bytes: int = 0,
     ) -> deployment.Offer:
         return deployment.Offer(
             request_id=call.request_id,
@@ -443,7 +444,7 @@
             caller_service=self._settings.service,
             request=request,
             route=call.route.name,
-            body_bytes=body_bytes,
+            request_bytes=request_bytes,
         )
 
     def _find_max_wait(self, call: RoutedCall) -> clock.Milliseconds | None:
--- a/cyclamenwell/sidecar/executor.py
+++ b/cyclamenwell/sidecar/executor.py
@@ -111,14 +111,14 @@
     async def __aenter__(self) -> admission_queues.Slot:
         executor, offer = self._executor, self._offer
         slot = await executor.acquire_slot(offer)
-        if not executor.memory.reserve(offer.body_bytes):
+        if not executor.memory.reserve(offer.request_bytes):
             executor.admission_queue.release(slot)
-            raise _build_refusal(_Kind.OVERLOADED, "no memory for the body")
+            raise _build_refusal(_Kind.OVERLOADED, "no memory for the request")
         self._slot = slot
         return slot
 
     async def __aexit__(self, *failure: object) -> None:
-        self._executor.memory.release(self._offer.body_bytes)
+        self._executor.memory.release(self._offer.request_bytes)
         self._executor.admission_queue.release(self._slot)
 
 
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -64,15 +64,15 @@
     parser: http1.RequestParser
     # Arrival of the bytes read last. The next request may be among them.
     read_at: clock.Milliseconds
-    # Size of the body of the request that runs.
+    # Memory for the request that runs.
     running_bytes: int = 0
 
     @property
     def held_bytes(self) -> int:
         """Memory that is held for the caller."""
-        bodies = self.parser.held_body_bytes + self.running_bytes
+        requests = self.parser.held_body_bytes + self.running_bytes
         return (
-            bodies * memory_account.BODY_COPIES
+            requests * memory_account.BODY_COPIES
             + self.parser.held_head_bytes
             + self.stream.held_bytes
         )
@@ -200,7 +200,7 @@
             return False
         self._streams[stream] = True
         stream.is_in_use = True
-        connection.running_bytes = len(received.request.body)
+        connection.running_bytes = http1.measure_request(received.request)
         receiver = receivers.CallerReceiver(
             stream,
             received.request.method,
--- a/cyclamenwell/sidecar/tests/hostile_callers.py
+++ b/cyclamenwell/sidecar/tests/hostile_callers.py
@@ -36,10 +36,12 @@
 _SEND_TIMEOUT_SECONDS = 5.0
 
 
-def split_short_headers(size: int) -> Iterator[bytes]:
-    """Yield a head of short lines that does not end."""
+def split_short_headers(size: int, is_whole: bool = False) -> Iterator[bytes]:
+    """Yield a head of short lines, which ends only if it is whole."""
     yield _build_head()
     yield b"a:b\r\n" * (size // 5)
+    if is_whole:
+        yield b"content-length: 0\r\n\r\n"
 
 
 def split_endless_head(size: int) -> Iterator[bytes]:
--- a/cyclamenwell/sidecar/tests/test_hostile_callers.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_callers.py
@@ -120,6 +120,19 @@
     )
 
 
+def test_many_whole_heads_of_short_lines_at_once_are_bounded(tmp_path):
+    """Guards against the objects of many headers that are forwarded."""
+
+    def slow_down(fleet):
+        fleet.machines[1].target.service_time = clock.Milliseconds(1500)
+
+    run_with_crowd(
+        tmp_path,
+        [callers.split_short_headers(15_000, True) for _ in range(200)],
+        prepare=slow_down,
+    )
+
+
 def test_bytes_behind_a_running_request_are_bounded(tmp_path):
     """Guards against unread bytes of many connections with a request."""
 
