Refuse callers with an answer when all connections are in use

Callers saw a reset, which does not tell whether the request has run, when they connected while the node answered a request on each of the connections that its descriptors allow.

Cause: the listener closes the oldest connection that is not in use for a new one, and the new one itself if there is none. A second suspect, an eviction by the memory account, does not fit: it ends the answer without a reset, and takes the largest holder first.

Change: at most 7/8 of the callers' connections have a request in progress. Requests beyond that are refused at once, and their connections can be closed for new ones, so that each new caller is accepted and gets an answer.

--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 
@@ -102,10 +103,16 @@
     ----------
     node : components.Components
         Components of the node.
+    max_requests : int
+        Requests that may be answered at once. If the listener has room for
+        more connections, a caller beyond them gets a refusal instead of a
+        reset, which would not tell whether its request has run.
     """
 
-    def __init__(self, node: components.Components) -> None:
+    def __init__(self, node: components.Components, max_requests: int) -> None:
         self._node = node
+        self._max_requests = max_requests
+        self._requests = 0
         self._host_table: host_routes.HostTable | None = None
         self._rotation = host_routes.SplitRotation()
         # Open connections, and whether each is busy with a request.
@@ -199,7 +206,6 @@
         if received is None:
             return False
         self._streams[stream] = True
-        stream.is_in_use = True
         connection.running_bytes = http1.measure_request(received.request)
         receiver = receivers.CallerReceiver(
             stream,
@@ -207,12 +213,11 @@
             received.keep_alive and not self.is_leaving,
             received.accepts_chunks,
         )
-        with stream.cancel_on_disconnect():
+        with stream.cancel_on_disconnect(), self._count_request(stream):
             answer = await self._answer(
                 received.request, receiver, connection.read_at
             )
         connection.running_bytes = 0
-        stream.is_in_use = False
         keep_alive = receiver.keep_alive
         if answer is not None:
             keep_alive = received.keep_alive and not self.is_leaving
@@ -224,6 +229,17 @@
             await self._linger(stream)
         return keep_alive
 
+    @contextlib.contextmanager
+    def _count_request(self, stream: streams.Stream) -> Iterator[None]:
+        """Keep a connection open while its request is answered."""
+        self._requests += 1
+        stream.is_in_use = True
+        try:
+            yield
+        finally:
+            stream.is_in_use = False
+            self._requests -= 1
+
     async def _linger(self, stream: streams.Stream) -> None:
         """Discard what a caller still sends, until it has closed.
 
@@ -405,6 +421,12 @@
             raise exceptions.RefusedError(
                 _Kind.TIMED_OUT, "the request waited behind an earlier one"
             )
+        if self._requests > self._max_requests:
+            refusal = exceptions.RefusedError(
+                _Kind.OVERLOADED, "the node has too many requests in progress"
+            )
+            self._set_retry_delay(refusal, route, started_at + timeout)
+            raise refusal
         organisation = await self._authenticate(table, route, received.key)
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
@@ -452,14 +474,24 @@
         except exceptions.RefusedError as refusal:
             if refusal.kind not in _RETRYABLE_KINDS:
                 raise
-            elapsed = self._node.time.now() - call.started_at
-            caller_timeout = received.timeout or clock.Milliseconds(
+            timeout = received.timeout or clock.Milliseconds(
                 call.route.timeout_ms
             )
-            refusal.retry_after = queue_wait.find_retry_delay(
-                refusal.retry_after,
-                clock.Milliseconds(call.route.objective_ms),
-                caller_timeout - elapsed,
-                self._node.generator,
+            self._set_retry_delay(
+                refusal, call.route, call.started_at + timeout
             )
             raise
+
+    def _set_retry_delay(
+        self,
+        refusal: exceptions.RefusedError,
+        route: deployment.Route,
+        end: clock.Milliseconds,
+    ) -> None:
+        """Choose when a caller that waits until `end` may return."""
+        refusal.retry_after = queue_wait.find_retry_delay(
+            refusal.retry_after,
+            clock.Milliseconds(route.objective_ms),
+            end - self._node.time.now(),
+            self._node.generator,
+        )
--- a/cyclamenwell/sidecar/process.py
+++ b/cyclamenwell/sidecar/process.py
@@ -60,6 +60,8 @@
 _CALLER_DESCRIPTOR_PART = 0.5
 _PEER_DESCRIPTOR_PART = 0.25
 _OPERATIONS_DESCRIPTOR_PART = 0.02
+# Part of the callers' connections that may have a request in progress.
+_REQUEST_PART = 0.875
 _UNKNOWN_AGE = clock.Milliseconds(math.nan)
 
 
@@ -148,7 +150,10 @@
             rate_limiter=rate_limiter.RateLimiter(context, links),
             gossip=gossip_module.Gossip(context, links),
         )
-        self._frontend = frontends.Frontend(self._node)
+        self._frontend = frontends.Frontend(
+            self._node,
+            self._find_max_connections(_CALLER_DESCRIPTOR_PART * _REQUEST_PART),
+        )
         self._store_reader = store_reader.StoreReader(context)
         self._operations = operations.Operations(self._is_ready, self._metrics)
         self._state.add_listener(self._apply_state)
--- a/cyclamenwell/sidecar/tests/builders.py
+++ b/cyclamenwell/sidecar/tests/builders.py
@@ -340,7 +340,7 @@
         rate_limiter=None,
         gossip=None,
     )
-    frontend = frontends.Frontend(node)
+    frontend = frontends.Frontend(node, max_requests=1000)
     frontend.apply_state()
     listener = streams.Listener(LOOPBACK, 0, frontend.serve, log)
     try:
--- a/cyclamenwell/sidecar/tests/hostile_callers.py
+++ b/cyclamenwell/sidecar/tests/hostile_callers.py
@@ -29,8 +29,9 @@
 _PIECE_BYTES = 64 * 1024
 _HEAD_LINES = (
     b"POST /read/1 HTTP/1.1\r\nhost: meters.example\r\n"
-    b"x-api-key: k1\r\ndeadline-ms: 3000\r\nrequest-id: c-%d\r\n"
+    b"x-api-key: k1\r\ndeadline-ms: %d\r\nrequest-id: c-%d\r\n"
 )
+_DEADLINE_MS = 3000
 _NUMBERS = itertools.count(1)
 # A connection that accepts nothing for this time is left as it is.
 _SEND_TIMEOUT_SECONDS = 5.0
@@ -83,10 +84,12 @@
     yield from split_body(size)
 
 
-def split_requests(count: int) -> Iterator[bytes]:
+def split_requests(
+    count: int, deadline_ms: int = _DEADLINE_MS
+) -> Iterator[bytes]:
     """Yield requests one after the other, without a wait for answers."""
     for _ in range(count):
-        yield _build_head() + b"content-length: 0\r\n\r\n"
+        yield _build_head(deadline_ms) + b"content-length: 0\r\n\r\n"
 
 
 def count_descriptors(machine: builders.Machine) -> int:
@@ -138,8 +141,8 @@
                         await writer.drain()
 
 
-def _build_head() -> bytes:
-    return _HEAD_LINES % next(_NUMBERS)
+def _build_head(deadline_ms: int = _DEADLINE_MS) -> bytes:
+    return _HEAD_LINES % (deadline_ms, next(_NUMBERS))
 
 
 def _split(data: bytes) -> Iterator[bytes]:
--- a/cyclamenwell/sidecar/tests/test_hostile_callers.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_callers.py
@@ -164,6 +164,50 @@
     run_with_crowd(tmp_path, [iter(()) for _ in range(500)])
 
 
+def test_a_caller_is_refused_with_an_answer_while_all_others_run(tmp_path):
+    """Guards against a reset, which does not tell whether a request has run."""
+    # Long enough that all requests wait for a slot and none is refused.
+    row = platform_builders.build_route_row(
+        timeout_ms=20_000, target_latency_ms=30_000
+    )
+
+    async def run_scenario(fleet):
+        (meter,) = fleet.machines
+        meter.target.service_time = clock.Milliseconds(1500)
+
+        async def have_begun():
+            return len(meter.target.runs) >= 10
+
+        async def is_served():
+            answer = await fleet.send_request(meter, deadline_ms=20_000)
+            return answer.status == 200
+
+        crowd = callers.Crowd(meter.host, builders.CALLER_PORT)
+        with contextlib.closing(crowd):
+            payloads = [callers.split_requests(1, 20_000) for _ in range(20)]
+            await crowd.send(payloads)
+            await builders.wait_for(have_begun, "the crowd's requests run")
+            answer = await fleet.send_request(
+                meter, request_id="ordinary", deadline_ms=20_000
+            )
+            assert answer.status == 503
+            fields = {field.name: field.value for field in answer.headers}
+            assert float(fields["retry-after"]) > 0
+            await builders.wait_for(is_served, "the caller returns later")
+        assert not any(
+            run.request.find_header("request-id") == "ordinary"
+            for run in meter.target.runs
+        )
+
+    builders.run_fleet(
+        tmp_path,
+        ("meter",),
+        run_scenario,
+        settings="limits: {max_fds: 40}",
+        **(CONFIGURATION | {"routes": platform_builders.build_table(row)}),
+    )
+
+
 def test_unfinished_messages_at_the_port_of_peers_are_bounded(tmp_path):
     """Guards against many long messages of strangers that do not end."""
     payloads = [callers.split_frame(BODY_BYTES) for _ in range(60)]
