Wait for the whole crowd before the refusal is tested

The test now waits until the node counts 17 requests that run or wait, which is the number that 40 descriptors allow.

--- a/cyclamenwell/sidecar/tests/test_hostile_callers.py
+++ b/cyclamenwell/sidecar/tests/test_hostile_callers.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import re
 
 import pytest
 
@@ -175,8 +176,14 @@
         (meter,) = fleet.machines
         meter.target.service_time = clock.Milliseconds(1500)
 
-        async def have_begun():
-            return len(meter.target.runs) >= 10
+        async def are_in_progress():
+            metrics = await fleet.read_metrics(meter)
+            values = re.findall(
+                r"^cyclamenwell_sidecar_(?:running|queued) (\S+)", metrics, re.M
+            )
+            # Of 40 descriptors, 20 are for callers, and 17 of these for
+            # requests in progress.
+            return sum(map(float, values)) >= 17
 
         async def is_served():
             answer = await fleet.send_request(meter, deadline_ms=20_000)
@@ -186,7 +193,9 @@
         with contextlib.closing(crowd):
             payloads = [callers.split_requests(1, 20_000) for _ in range(20)]
             await crowd.send(payloads)
-            await builders.wait_for(have_begun, "the crowd's requests run")
+            await builders.wait_for(
+                are_in_progress, "the crowd's requests run or wait"
+            )
             answer = await fleet.send_request(
                 meter, request_id="ordinary", deadline_ms=20_000
             )
