Name what the memory account reserves

The account reserves memory for whole requests since the heads of requests that run are counted, but its constant and doc comments still said bodies. The builder of the chain in the simulation had a parameter that no test set. No change of behaviour; the tests of admission and of the simulation pass.

--- a/cyclamenwell/admission/memory_account.py
+++ b/cyclamenwell/admission/memory_account.py
@@ -12,7 +12,7 @@
 import collections
 from typing import Protocol
 
-__all__ = ["BODY_COPIES", "Holder", "MemoryAccount", "find_capacity"]
+__all__ = ["REQUEST_COPIES", "Holder", "MemoryAccount", "find_capacity"]
 
 _BYTES_PER_MEGABYTE = 1_000_000
 # Memory of the process without any caller.
@@ -20,8 +20,8 @@
 # The rest is for buffers of short life and the fragmentation of the heap.
 _CAPACITY_PART = 0.5
 _MIN_CAPACITY_BYTES = 8 * _BYTES_PER_MEGABYTE
-# A body on its way is held as received, as encoded and as unsent bytes.
-BODY_COPIES = 3
+# A request on its way is held as received, as encoded and as unsent bytes.
+REQUEST_COPIES = 3
 # After an eviction some room is left, so that not each byte causes another.
 _TARGET_PART = 0.9
 # One large request may hold more than the account while all others together
@@ -47,7 +47,7 @@
 
 
 class MemoryAccount:
-    """Memory held for connections and reserved for bodies.
+    """Memory held for connections and reserved for requests.
 
     Parameters
     ----------
@@ -78,11 +78,11 @@
         self._total -= self._held.pop(holder, 0)
 
     def reserve(self, size: int) -> bool:
-        """Reserve memory for a body; return whether there was room.
+        """Reserve memory for a request; return whether there was room.
 
-        A body of any size is accepted while little else is held.
+        A request of any size is accepted while little else is held.
         """
-        needed = size * BODY_COPIES
+        needed = size * REQUEST_COPIES
         self._reserve(needed, 1)
         if needed < _MIN_EVICTED_BYTES or self._total <= self._capacity:
             return True
@@ -93,8 +93,8 @@
         return False
 
     def release(self, size: int) -> None:
-        """Give back the memory that was reserved for a body."""
-        self._reserve(size * BODY_COPIES, -1)
+        """Give back the memory that was reserved for a request."""
+        self._reserve(size * REQUEST_COPIES, -1)
 
     def _reserve(self, needed: int, count: int) -> None:
         if not needed:
--- a/cyclamenwell/load/tests/chain_builders.py
+++ b/cyclamenwell/load/tests/chain_builders.py
@@ -6,13 +6,11 @@
 from cyclamenwell.load import chain_simulation
 
 TIMEOUT = clock.Milliseconds(800)
-_RUN_TIME = clock.Milliseconds(30)
-_LAST_SLOTS = 16
 # Of 16 slots, 95% are used; a request makes five calls of 30 ms.
 _REQUESTS_PER_TARGET_AND_SECOND = 100.0
 
 
-def build_chain(last_targets: int = 3) -> tuple:
+def build_chain() -> tuple:
     """Return four services, of which the third calls the last one five times.
 
     Each target of the last service has slots for 100 requests a second.
@@ -21,9 +19,7 @@
         _build_service("sizing", 5, 42, 120.0, 1, 1500.0),
         _build_service("lots", 3, 70, 15.0, 1, 1200.0),
         _build_service("tally", 3, 70, 15.0, 5, 1200.0),
-        _build_service(
-            "gates", last_targets, _LAST_SLOTS, _RUN_TIME.value, 0, 300.0
-        ),
+        _build_service("gates", 3, 16, 30.0, 0, 300.0),
     )
 
 
--- a/cyclamenwell/sidecar/frontend.py
+++ b/cyclamenwell/sidecar/frontend.py
@@ -73,7 +73,7 @@
         """Memory that is held for the caller."""
         requests = self.parser.held_body_bytes + self.running_bytes
         return (
-            requests * memory_account.BODY_COPIES
+            requests * memory_account.REQUEST_COPIES
             + self.parser.held_head_bytes
             + self.stream.held_bytes
         )
